--- /dev/null
+++ b/kingcuplock/base/life_guard.h
@@ -0,0 +1,36 @@
+#pragma once
+
+/// Makes callbacks harmless once the object that handed them out is gone.
+///
+/// Example:
+///   link.Call(request, timeout, guard_.Bind([this](auto* it) { Use(it); }));
+
+#include <memory>
+#include <utility>
+
+namespace kingcuplock {
+
+/// A member of the object that hands out callbacks. Not thread safe.
+class LifeGuard {
+ public:
+  LifeGuard() = default;
+  LifeGuard(const LifeGuard&) = delete;
+  auto operator=(const LifeGuard&) -> LifeGuard& = delete;
+
+  /// Returns a callable that calls `callback` while this guard lives and does
+  /// nothing afterwards.
+  template <typename Callback>
+  auto Bind(Callback callback) const {
+    return [weak = std::weak_ptr<int>(token_),
+            callback = std::move(callback)](auto&&... arguments) {
+      if (!weak.expired()) {
+        callback(std::forward<decltype(arguments)>(arguments)...);
+      }
+    };
+  }
+
+ private:
+  std::shared_ptr<int> token_ = std::make_shared<int>(0);
+};
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/base/log.cc
@@ -0,0 +1,104 @@
+#include "kingcuplock/base/log.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+namespace kingcuplock {
+namespace {
+
+auto SeverityName(Severity severity) -> std::string_view {
+  switch (severity) {
+    case Severity::kInfo:
+      return "info";
+    case Severity::kWarning:
+      return "warning";
+    case Severity::kError:
+      return "error";
+  }
+  return "error";
+}
+
+auto InfoOf(Event event) -> const EventInfo& {
+  const auto& catalogue = EventCatalogue();
+  const auto it =
+      std::find_if(catalogue.begin(), catalogue.end(),
+                   [event](const auto& info) { return info.event == event; });
+  return it == catalogue.end() ? catalogue.front() : *it;
+}
+
+auto NeedsQuotes(std::string_view value) -> bool {
+  return value.empty() || value.find_first_of(" \"=\n") != value.npos;
+}
+
+auto Quoted(std::string_view value) -> std::string {
+  std::string out = "\"";
+  for (const auto it : value) {
+    if (it == '"' || it == '\\') {
+      out += '\\';
+    }
+    out += it == '\n' ? ' ' : it;
+  }
+  return out + "\"";
+}
+
+}  // namespace
+
+auto EventCatalogue() -> const std::vector<EventInfo>& {
+  using enum Event;
+  using enum Severity;
+  static const std::vector<EventInfo> kCatalogue = {
+      {kProxyStarted, kInfo, "proxy started"},
+      {kProxyStopping, kInfo, "planned stop began"},
+      {kProxyStopped, kInfo, "proxy stopped"},
+      {kSettingsRejected, kError, "settings rejected"},
+      {kRingFull, kWarning, "ring full, requests refused"},
+      {kOwnerAcquired, kInfo, "ownership acquired"},
+      {kOwnerLost, kWarning, "ownership lost"},
+      {kOwnerReleased, kInfo, "ownership released"},
+      {kLeaseGranted, kInfo, "lease granted"},
+      {kLeaseLapsed, kWarning, "lease lapsed"},
+      {kFenceRaised, kInfo, "epoch raised in the database"},
+      {kPrimarySuspected, kWarning, "primary suspected"},
+      {kPromotionBegan, kWarning, "promotion began"},
+      {kPromotionWaits, kError, "promotion waits for members"},
+      {kPromotionDone, kWarning, "promotion done"},
+      {kMemberDemoted, kWarning, "member told to follow the primary"},
+      {kWritesOpen, kInfo, "writes open"},
+      {kManifestInForce, kInfo, "manifest in force"},
+      {kManifestRejected, kError, "manifest rejected"},
+      {kPeerUp, kInfo, "peer link up"},
+      {kPeerDown, kWarning, "peer link down"},
+      {kStoreUp, kInfo, "store reachable"},
+      {kStoreDown, kWarning, "store not reachable"},
+      {kMemberConnectionReplaced, kWarning, "member connection replaced"},
+      {kFrameRejected, kWarning, "frame rejected"},
+  };
+  return kCatalogue;
+}
+
+auto FormatEvent(Event event, const std::vector<Field>& fields) -> std::string {
+  const auto& info = InfoOf(event);
+  auto line =
+      fmt::format("event={} severity={} text={}", static_cast<int>(event),
+                  SeverityName(info.severity), Quoted(info.text));
+  for (const auto& [name, value] : fields) {
+    line +=
+        fmt::format(" {}={}", name, NeedsQuotes(value) ? Quoted(value) : value);
+  }
+  return line;
+}
+
+void WriteLogLine(std::string_view line) {
+  const auto now = std::chrono::system_clock::now();
+  const auto seconds = std::chrono::floor<std::chrono::seconds>(now);
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - seconds);
+  fmt::print(stderr, "time={:%Y-%m-%dT%H:%M:%S}.{:03}Z {}\n", seconds,
+             ms.count(), line);
+}
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/base/timer_service.h
@@ -0,0 +1,58 @@
+#pragma once
+
+/// Timer service that the parts of an instance subscribe to. It reads no
+/// clock: whoever owns it moves the time on.
+///
+/// Example:
+///   TimerService timers;
+///   auto timer = timers.After(Milliseconds(50), [] { Probe(); });
+///   timers.AdvanceTo(now);
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+namespace kingcuplock {
+
+using Duration = std::chrono::microseconds;
+using Milliseconds = std::chrono::milliseconds;
+/// Monotonic time since an arbitrary start.
+using Time = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+/// Identifies a subscription; 0 is never used.
+using TimerId = std::uint64_t;
+
+/// Not thread safe. All operations are O(log n) in pending timers.
+class TimerService {
+ public:
+  explicit TimerService(Time start = Time{}) : now_(start) {}
+
+  /// Returns the time of the last AdvanceTo().
+  auto Now() const -> Time { return now_; }
+
+  /// Calls `callback` once when the time reaches Now() + `delay`.
+  auto After(Duration delay, std::function<void()> callback) -> TimerId;
+
+  /// Drops a subscription. Returns false if it already fired.
+  auto Cancel(TimerId timer) -> bool;
+
+  /// Moves the time on and fires what is due, in order of time. A time before
+  /// Now() is ignored.
+  void AdvanceTo(Time now);
+
+  /// Returns when the next timer is due.
+  auto NextDue() const -> std::optional<Time>;
+
+ private:
+  using Key = std::pair<Time, TimerId>;
+
+  Time now_;
+  TimerId last_id_ = 0;
+  std::map<Key, std::function<void()>> pending_;
+  std::unordered_map<TimerId, Time> due_;
+};
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/endpoint/connection_pool.h
@@ -0,0 +1,126 @@
+#pragma once
+
+/// Connections to one member, one statement at a time on each, within the
+/// budget of connections and statement slots. Warm spares hide the opening
+/// time. A connection in doubt is closed, never used again.
+///
+/// Example:
+///   ConnectionPool pool(member, {.connections = 12, .slots = 2}, ...);
+///   if (pool.HasFree()) { pool.Run(request, timeout, callback); }
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "kingcuplock/actions/outbox.h"
+#include "kingcuplock/base/timer_service.h"
+#include "kingcuplock/endpoint/member_link.h"
+#include "kingcuplock/schema/manifest.h"
+#include "kingcuplock/schema/messages.h"
+
+namespace kingcuplock {
+
+/// Limits of one pool.
+struct PoolLimits {
+  /// Connections held at most.
+  std::int64_t connections = 1;
+  /// Statements running at once at most.
+  std::int64_t slots = 1;
+};
+
+/// Not thread safe.
+class ConnectionPool {
+ public:
+  ConnectionPool(MemberConfig member,
+                 PoolLimits limits,
+                 TimerService& timers,
+                 Outbox& outbox);
+  ~ConnectionPool();
+  ConnectionPool(const ConnectionPool&) = delete;
+  auto operator=(const ConnectionPool&) -> ConnectionPool& = delete;
+
+  /// Opens connections up to one per slot and one spare.
+  void Warm();
+
+  /// Returns whether Run() may be called now.
+  auto HasFree() const -> bool;
+
+  /// Returns whether a connection could be pinned now.
+  auto HasFreeToPin() const -> bool;
+
+  /// Runs one request on a free connection. Calls back with nullptr, and
+  /// closes the connection, when the answer is lost or late.
+  /// Precondition: HasFree().
+  void Run(MemberRequest request, Duration timeout, MemberCallback callback);
+
+  /// Takes a free connection out of the pool for one transaction.
+  /// Precondition: HasFreeToPin().
+  auto Pin() -> ConnectionId;
+
+  /// Runs one request on a pinned connection; as Run(). Returns false, with
+  /// nothing sent, if the connection has ended meanwhile.
+  auto RunPinned(ConnectionId connection,
+                 MemberRequest request,
+                 Duration timeout,
+                 MemberCallback callback) -> bool;
+
+  /// Gives a pinned connection back. `clean` says that no transaction is open
+  /// on it and no answer is due; otherwise it is closed.
+  void Unpin(ConnectionId connection, bool clean);
+
+  /// Closes all connections; outstanding requests are reported as lost.
+  void CloseAll();
+
+  /// Calls `callback` whenever a connection has become free.
+  void OnFree(std::function<void()> callback) {
+    on_free_ = std::move(callback);
+  }
+
+  /// Returns the number of statements that run.
+  auto Running() const -> std::int64_t { return running_; }
+
+  /// Returns the number of connections, open or being opened.
+  auto Size() const -> std::size_t { return connections_.size(); }
+
+  /// Returns the member's configuration.
+  auto member() const -> const MemberConfig& { return member_; }
+
+  /// Handle an event; return false if the connection is not this pool's.
+  auto OnOpened(ConnectionId connection) -> bool;
+  auto OnClosed(ConnectionId connection) -> bool;
+  auto OnAnswer(ConnectionId connection, const MemberAnswer& answer) -> bool;
+
+ private:
+  enum class State { kOpening, kIdle, kBusy, kPinned, kPinnedBusy };
+  struct Connection {
+    State state = State::kOpening;
+    std::int64_t request_id = 0;
+    MemberCallback callback;
+    TimerId timer = 0;
+  };
+
+  auto FindIdle() const -> ConnectionId;
+  void OpenOne();
+  void Start(ConnectionId id,
+             State state,
+             MemberRequest request,
+             Duration timeout,
+             MemberCallback callback);
+  void Finish(ConnectionId id, const MemberAnswer* answer);
+  void Drop(ConnectionId id);
+  void NotifyFree();
+
+  MemberConfig member_;
+  PoolLimits limits_;
+  TimerService& timers_;
+  Outbox& outbox_;
+  std::map<ConnectionId, Connection> connections_;
+  std::int64_t running_ = 0;
+  std::int64_t last_request_ = 0;
+  bool retry_pending_ = false;
+  TimerId retry_timer_ = 0;
+  std::function<void()> on_free_;
+};
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/entry/entry.cc
@@ -0,0 +1,256 @@
+#include "kingcuplock/entry/entry.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "kingcuplock/manifest/manifest_check.h"
+#include "kingcuplock/owner/answers.h"
+
+namespace kingcuplock {
+namespace {
+
+/// Part of the patience in ms that is kept for the way back from the owner.
+constexpr Milliseconds kAnswerReserve{20};
+/// Pause in ms before a request is routed again.
+constexpr Milliseconds kReroutePause{20};
+/// Time in ms after which a caller may come back when there is no owner.
+constexpr std::int64_t kNoOwnerRetryMs = 500;
+/// Longest patience in ms that a request may state.
+constexpr std::int64_t kMaxPatienceMs = 600'000;
+
+auto IsReadOnly(const CallerRequest& request) -> bool {
+  return std::all_of(request.statements.begin(), request.statements.end(),
+                     [](const auto& it) { return it.verb == Verb::kGet; });
+}
+
+}  // namespace
+
+Entry::Entry(std::string self,
+             TimerService& timers,
+             Outbox& outbox,
+             EntryPorts ports)
+    : self_(std::move(self)),
+      timers_(timers),
+      outbox_(outbox),
+      ports_(std::move(ports)) {}
+
+void Entry::Refuse(ConnectionId caller,
+                   const CallerRequest& request,
+                   ErrorKind kind) {
+  const auto retry = kind == ErrorKind::kNoManifest ? kNoOwnerRetryMs : 0;
+  auto answer = Refusal(request.id, kind, retry);
+  answer.token = request.token;
+  ports_.answered(request, answer, Duration::zero());
+  outbox_.Send(caller, std::move(answer));
+}
+
+auto Entry::Resolve(ConnectionId caller,
+                    const CallerRequest& request,
+                    KindConfig& kind) -> bool {
+  const auto& manifest = ports_.manifest();
+  if (manifest.version == 0) {
+    Refuse(caller, request, ErrorKind::kNoManifest);
+    return false;
+  }
+  const auto* database = FindDatabase(manifest, request.database);
+  if (database == nullptr) {
+    Refuse(caller, request, ErrorKind::kUnknownDatabase);
+    return false;
+  }
+  const auto* found = FindKind(*database, request.kind);
+  if (found == nullptr) {
+    Refuse(caller, request, ErrorKind::kUnknownKind);
+    return false;
+  }
+  if (found->access == Access::kRead && !IsReadOnly(request)) {
+    Refuse(caller, request, ErrorKind::kWrongAccess);
+    return false;
+  }
+  kind = *found;
+  return true;
+}
+
+void Entry::OnRequest(ConnectionId caller, CallerRequest request) {
+  auto pending = std::make_shared<PendingRequest>();
+  if (!Resolve(caller, request, pending->kind)) {
+    return;
+  }
+  try {
+    pending->token = SessionToken::Parse(request.token);
+  } catch (const TokenError&) {
+    Refuse(caller, request, ErrorKind::kBadToken);
+    return;
+  }
+  const auto patience =
+      std::clamp<std::int64_t>(request.patience_ms, 0, kMaxPatienceMs);
+  pending->id = ++last_id_;
+  pending->caller = caller;
+  pending->request = std::move(request);
+  pending->began = timers_.Now();
+  pending->deadline = timers_.Now() + Milliseconds(patience);
+  pending->deadline_timer = timers_.After(
+      Milliseconds(patience), [this, pending] { OnDeadline(pending); });
+  pending_[pending->id] = pending;
+  Route(pending);
+}
+
+void Entry::Route(const PendingPtr& pending) {
+  const auto owner = ports_.owner_of(pending->request.database);
+  if (owner == self_) {
+    RouteHere(pending);
+    return;
+  }
+  if (owner.empty()) {
+    Hold(pending);
+    return;
+  }
+  Forward forward;
+  forward.id = ++last_forward_;
+  forward.request = pending->request;
+  const auto left = pending->deadline - timers_.Now() - kAnswerReserve;
+  forward.request.patience_ms = std::max<std::int64_t>(
+      std::chrono::duration_cast<Milliseconds>(left).count(), 1);
+  if (!ports_.forward(owner, std::move(forward))) {
+    Hold(pending);
+    return;
+  }
+  pending->forward_id = last_forward_;
+  pending->sent_to = owner;
+  forwarded_[last_forward_] = pending;
+}
+
+void Entry::RouteHere(const PendingPtr& pending) {
+  auto request = std::make_shared<OwnerRequest>();
+  request->request = pending->request;
+  request->kind = pending->kind;
+  request->token = pending->token;
+  request->deadline = pending->deadline;
+  request->in_doubt = pending->in_doubt;
+  request->reply = [this, pending](CallerAnswer answer) {
+    OnOwnerAnswer(pending, std::move(answer));
+  };
+  pending->sent_to = self_;
+  if (!ports_.submit_here(pending->request.database, std::move(request))) {
+    pending->sent_to.clear();
+    Hold(pending);
+  }
+}
+
+void Entry::RouteSoon(const PendingPtr& pending) {
+  pending->sent_to.clear();
+  timers_.After(kReroutePause, [this, pending] {
+    if (pending_.contains(pending->id) && pending->sent_to.empty()) {
+      Route(pending);
+    }
+  });
+}
+
+void Entry::Hold(const PendingPtr& pending) {
+  held_[pending->request.database].push_back(pending);
+  if (held_[pending->request.database].size() == 1) {
+    // Looks again even if no change of owner is reported.
+    timers_.After(kReroutePause, [this, database = pending->request.database] {
+      OnOwnerChanged(database);
+    });
+  }
+}
+
+void Entry::OnOwnerChanged(const std::string& database) {
+  const auto it = held_.find(database);
+  if (it == held_.end()) {
+    return;
+  }
+  for (const auto& pending : std::exchange(it->second, {})) {
+    if (pending_.contains(pending->id)) {
+      Route(pending);
+    }
+  }
+}
+
+void Entry::OnForwardAnswer(const std::string& peer,
+                            const ForwardAnswer& answer) {
+  auto node = forwarded_.extract(answer.id);
+  if (node.empty() || node.mapped()->sent_to != peer) {
+    return;
+  }
+  OnOwnerAnswer(node.mapped(), answer.answer);
+}
+
+void Entry::OnPeerDown(const std::string& peer) {
+  std::vector<PendingPtr> lost;
+  for (const auto& [id, pending] : forwarded_) {
+    if (pending->sent_to == peer) {
+      lost.push_back(pending);
+    }
+  }
+  for (const auto& it : lost) {
+    forwarded_.erase(it->forward_id);
+    it->in_doubt = true;
+    RouteSoon(it);
+  }
+}
+
+auto Entry::MayAskAgain(const PendingRequest& pending,
+                        const CallerAnswer& answer) const -> bool {
+  if (timers_.Now() + kReroutePause + kAnswerReserve >= pending.deadline) {
+    return false;
+  }
+  return answer.error == ErrorKind::kNotOwner ||
+         answer.error == ErrorKind::kFenced;
+}
+
+void Entry::OnOwnerAnswer(const PendingPtr& pending, CallerAnswer answer) {
+  if (!pending_.contains(pending->id)) {
+    return;
+  }
+  if (MayAskAgain(*pending, answer)) {
+    pending->in_doubt |= answer.status == Status::kUnknown;
+    RouteSoon(pending);
+    return;
+  }
+  const auto is_write = pending->kind.access == Access::kWrite;
+  if (answer.status == Status::kNotRun && pending->in_doubt && is_write) {
+    answer = InDoubt(pending->request.id, answer.error);
+  }
+  if (answer.error == ErrorKind::kNotOwner) {
+    answer.error = ErrorKind::kNoOwner;
+    answer.message = RemedyOf(ErrorKind::kNoOwner);
+    answer.retry_after_ms = kNoOwnerRetryMs;
+  }
+  Finish(pending, std::move(answer));
+}
+
+void Entry::OnDeadline(const PendingPtr& pending) {
+  const auto& id = pending->request.id;
+  const auto may_run = pending->in_doubt || !pending->sent_to.empty();
+  if (may_run && pending->kind.access == Access::kWrite) {
+    Finish(pending, InDoubt(id, ErrorKind::kPatienceSpent));
+    return;
+  }
+  const auto reason = pending->sent_to.empty() ? ErrorKind::kNoOwner
+                                               : ErrorKind::kPatienceSpent;
+  Finish(pending, Refusal(id, reason, kNoOwnerRetryMs));
+}
+
+void Entry::Finish(const PendingPtr& pending, CallerAnswer answer) {
+  timers_.Cancel(pending->deadline_timer);
+  forwarded_.erase(pending->forward_id);
+  pending_.erase(pending->id);
+  if (answer.token.empty()) {
+    answer.token = pending->request.token;
+  }
+  ports_.answered(pending->request, answer, timers_.Now() - pending->began);
+  if (pending->caller != 0) {
+    outbox_.Send(pending->caller, std::move(answer));
+  }
+}
+
+void Entry::OnCallerClosed(ConnectionId caller) {
+  for (auto& [id, pending] : pending_) {
+    if (pending->caller == caller) {
+      pending->caller = 0;
+    }
+  }
+}
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/failover/promotion.cc
@@ -0,0 +1,197 @@
+#include "kingcuplock/failover/promotion.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcuplock {
+namespace {
+
+/// Longest wait in ms for one member's hearing.
+constexpr Milliseconds kHearTimeout{200};
+/// Pause in ms before a member that did not answer is heard again.
+constexpr Milliseconds kHearPause{50};
+/// Time in ms for which a promotion that could go on waits for more members.
+constexpr Milliseconds kHearGrace{30};
+/// Longest wait in ms for the candidate's answer.
+constexpr Milliseconds kOrderTimeout{300};
+/// Orders sent to one candidate before a new attempt begins.
+constexpr int kMaxOrders = 3;
+/// Interval in ms at which a waiting promotion is logged.
+constexpr Milliseconds kWaitLogInterval{1000};
+
+}  // namespace
+
+Promotion::Promotion(PromotionStart start,
+                     TimerService& timers,
+                     Outbox& outbox,
+                     PromotionPorts ports)
+    : start_(std::move(start)),
+      timers_(timers),
+      outbox_(outbox),
+      ports_(std::move(ports)) {}
+
+void Promotion::Begin() {
+  times_.began = timers_.Now();
+  NewAttempt(start_.newest_term + 1);
+  WaitAndLog();
+}
+
+void Promotion::NewAttempt(std::int64_t term) {
+  step_ = Step::kRecording;
+  term_ = term;
+  heard_.clear();
+  grace_over_ = false;
+  orders_ = 0;
+  outbox_.Log(Event::kPromotionBegan, {{"database", start_.database.name},
+                                       {"term", std::to_string(term)}});
+  ports_.record(term, guard_.Bind([this, term](bool written) {
+    OnRecorded(term, written);
+  }));
+}
+
+void Promotion::OnRecorded(std::int64_t term, bool written) {
+  if (term != term_ || step_ != Step::kRecording) {
+    return;
+  }
+  if (!written) {
+    step_ = Step::kDone;
+    ports_.failed();
+    return;
+  }
+  step_ = Step::kHearing;
+  times_.recorded = timers_.Now();
+  for (const auto& it : start_.database.members) {
+    Hear(it.name);
+  }
+}
+
+void Promotion::Hear(const std::string& member) {
+  MemberRequest request;
+  request.op = MemberOp::kStatus;
+  ports_.call(
+      member, request, kHearTimeout,
+      guard_.Bind([this, member, term = term_](const MemberAnswer* answer) {
+        OnHeard(term, member, answer);
+      }));
+}
+
+void Promotion::OnHeard(std::int64_t term,
+                        const std::string& member,
+                        const MemberAnswer* answer) {
+  if (term != term_ || step_ != Step::kHearing) {
+    return;
+  }
+  if (answer == nullptr) {
+    timers_.After(kHearPause, guard_.Bind([this, member, term] {
+      if (term == term_ && step_ == Step::kHearing) {
+        Hear(member);
+      }
+    }));
+    return;
+  }
+  heard_[member] = {
+      member, answer->term, {answer->entry_term, answer->position}};
+  Consider();
+}
+
+auto Promotion::Question() const -> CandidateQuestion {
+  const auto allowed_after =
+      Milliseconds(start_.database.loss_allowed_after_ms);
+  const auto loss_allowed = allowed_after.count() > 0 &&
+                            timers_.Now() - times_.began >= allowed_after;
+  return {start_.database.members.size(), term_, start_.acknowledged,
+          loss_allowed};
+}
+
+void Promotion::Consider() {
+  if (step_ != Step::kHearing) {
+    return;
+  }
+  std::vector<Hearing> heard;
+  for (const auto& [member, hearing] : heard_) {
+    heard.push_back(hearing);
+  }
+  const auto choice = ChooseCandidate(heard, Question());
+  if (choice.verdict == CandidateVerdict::kTermTooLow) {
+    auto highest = term_;
+    for (const auto& it : heard) {
+      highest = std::max(highest, it.follows);
+    }
+    NewAttempt(highest + 1);
+    return;
+  }
+  if (choice.verdict == CandidateVerdict::kWait) {
+    return;
+  }
+  const auto all_heard = heard.size() == start_.database.members.size();
+  if (all_heard || grace_over_) {
+    Choose(choice.candidate);
+    return;
+  }
+  timers_.After(kHearGrace, guard_.Bind([this, term = term_] {
+    if (term == term_) {
+      grace_over_ = true;
+      Consider();
+    }
+  }));
+}
+
+void Promotion::Choose(const Hearing& candidate) {
+  step_ = Step::kOrdering;
+  times_.heard = timers_.Now();
+  candidate_ = candidate;
+  Order();
+}
+
+void Promotion::Order() {
+  ++orders_;
+  MemberRequest request;
+  request.op = MemberOp::kPromote;
+  request.term = term_;
+  request.entry_term = candidate_.last_entry.term;
+  request.position = candidate_.last_entry.position;
+  ports_.call(candidate_.member, request, kOrderTimeout,
+              guard_.Bind([this, term = term_](const MemberAnswer* answer) {
+                OnOrdered(term, answer);
+              }));
+}
+
+void Promotion::OnOrdered(std::int64_t term, const MemberAnswer* answer) {
+  if (term != term_ || step_ != Step::kOrdering) {
+    return;
+  }
+  if (answer == nullptr && orders_ < kMaxOrders) {
+    timers_.After(kHearPause, guard_.Bind([this, term] {
+      if (term == term_ && step_ == Step::kOrdering) {
+        Order();
+      }
+    }));
+    return;
+  }
+  if (answer == nullptr || answer->status != MemberStatus::kDone) {
+    NewAttempt(term_ + 1);
+    return;
+  }
+  step_ = Step::kDone;
+  times_.promoted = timers_.Now();
+  outbox_.Log(Event::kPromotionDone, {{"database", start_.database.name},
+                                      {"term", std::to_string(term_)},
+                                      {"primary", candidate_.member}});
+  ports_.done(term_, candidate_.member);
+}
+
+void Promotion::WaitAndLog() {
+  timers_.After(kWaitLogInterval, guard_.Bind([this] {
+    if (step_ == Step::kDone) {
+      return;
+    }
+    outbox_.Log(Event::kPromotionWaits,
+                {{"database", start_.database.name},
+                 {"term", std::to_string(term_)},
+                 {"heard", std::to_string(heard_.size())}});
+    Consider();
+    WaitAndLog();
+  }));
+}
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/failover/promotion.h
@@ -0,0 +1,108 @@
+#pragma once
+
+/// One change of primary, in steps that a successor can take up: record the
+/// new term, hear members, order the promotion.
+///
+/// Example:
+///   Promotion promotion(question, timing, timers, outbox, ports);
+///   promotion.Begin();
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "kingcuplock/actions/outbox.h"
+#include "kingcuplock/base/life_guard.h"
+#include "kingcuplock/base/timer_service.h"
+#include "kingcuplock/endpoint/member_link.h"
+#include "kingcuplock/failover/candidate.h"
+#include "kingcuplock/schema/manifest.h"
+#include "kingcuplock/schema/messages.h"
+#include "kingcuplock/session/log_place.h"
+
+namespace kingcuplock {
+
+/// What a promotion starts from.
+struct PromotionStart {
+  /// Database concerned.
+  DatabaseConfig database;
+  /// Newest term begun so far.
+  std::int64_t newest_term = 0;
+  /// Highest place acknowledged, if this owner knows it.
+  std::optional<LogPlace> acknowledged;
+};
+
+/// When each step ended.
+struct PromotionTimes {
+  Time began{};
+  Time recorded{};
+  Time heard{};
+  Time promoted{};
+};
+
+/// What a promotion uses and reports to.
+struct PromotionPorts {
+  /// Sends a request to a member over a control link.
+  std::function<void(const std::string& member,
+                     const MemberRequest&,
+                     Duration timeout,
+                     MemberCallback)>
+      call;
+  /// Writes the ownership record with the new term, phase promoting.
+  std::function<void(std::int64_t term, std::function<void(bool)>)> record;
+  /// The candidate leads `term`.
+  std::function<void(std::int64_t term, const std::string& primary)> done;
+  /// The record could not be written: this instance owns the database no more.
+  std::function<void()> failed;
+};
+
+/// Not thread safe.
+class Promotion {
+ public:
+  Promotion(PromotionStart start,
+            TimerService& timers,
+            Outbox& outbox,
+            PromotionPorts ports);
+  Promotion(const Promotion&) = delete;
+  auto operator=(const Promotion&) -> Promotion& = delete;
+
+  /// Begins the first attempt.
+  void Begin();
+
+  /// Returns when each step of the last attempt ended.
+  auto times() const -> const PromotionTimes& { return times_; }
+
+ private:
+  enum class Step { kIdle, kRecording, kHearing, kOrdering, kDone };
+
+  void NewAttempt(std::int64_t term);
+  void OnRecorded(std::int64_t term, bool written);
+  void Hear(const std::string& member);
+  void OnHeard(std::int64_t term,
+               const std::string& member,
+               const MemberAnswer* answer);
+  void Consider();
+  void Choose(const Hearing& candidate);
+  void Order();
+  void OnOrdered(std::int64_t term, const MemberAnswer* answer);
+  auto Question() const -> CandidateQuestion;
+  void WaitAndLog();
+
+  PromotionStart start_;
+  TimerService& timers_;
+  Outbox& outbox_;
+  PromotionPorts ports_;
+  Step step_ = Step::kIdle;
+  std::int64_t term_ = 0;
+  std::map<std::string, Hearing> heard_;
+  Hearing candidate_;
+  bool grace_over_ = false;
+  int orders_ = 0;
+  PromotionTimes times_;
+  LifeGuard guard_;
+};
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/membership/peer_links.h
@@ -0,0 +1,92 @@
+#pragma once
+
+/// Links to the other instances: one outbound connection each, with heartbeats
+/// both ways. A link that is silent is replaced.
+///
+/// Example:
+///   PeerLinks peers(name, timing, timers, outbox, callbacks);
+///   peers.SetPeers(addresses);
+///   peers.Send("proxy-2", forward);
+
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "kingcuplock/actions/outbox.h"
+#include "kingcuplock/base/timer_service.h"
+#include "kingcuplock/schema/messages.h"
+#include "kingcuplock/schema/settings.h"
+
+namespace kingcuplock {
+
+/// What the links use and report to.
+struct PeerCallbacks {
+  /// Returns the heartbeat to send now.
+  std::function<Heartbeat()> heartbeat;
+  /// A message other than a heartbeat arrived from a peer.
+  std::function<void(const std::string&, const PeerMessage&)> message;
+  /// A peer answered a heartbeat.
+  std::function<void(const Heartbeat&)> heard;
+  /// A link went down: what was sent over it may or may not have arrived.
+  std::function<void(const std::string&)> down;
+  /// The set of live instances changed.
+  std::function<void()> changed;
+};
+
+/// Not thread safe. O(log n) in peers per message.
+class PeerLinks {
+ public:
+  PeerLinks(std::string self,
+            TimingSettings timing,
+            TimerService& timers,
+            Outbox& outbox,
+            PeerCallbacks callbacks);
+
+  /// Sets the peers to link to; links to others are closed.
+  void SetPeers(std::span<const PeerAddress> peers);
+
+  /// Begins to send heartbeats.
+  void Start();
+
+  /// Sends a message. Returns false if the link is not up.
+  auto Send(std::string_view peer, OutboundMessage message) -> bool;
+
+  /// Returns whether the link is up and the peer answered lately.
+  auto IsUp(std::string_view peer) const -> bool;
+
+  /// Returns this instance and the live peers that are not leaving.
+  auto Live() const -> std::vector<std::string>;
+
+  /// Handle an event; return false if the connection is not a peer link.
+  auto OnOpened(ConnectionId connection) -> bool;
+  auto OnClosed(ConnectionId connection) -> bool;
+  auto OnMessage(ConnectionId connection, const PeerMessage& message) -> bool;
+
+ private:
+  struct Peer {
+    PeerAddress address;
+    ConnectionId connection = 0;
+    bool open = false;
+    bool heard = false;
+    bool leaving = false;
+    Time last_heard{};
+  };
+
+  void Connect(Peer& peer);
+  void Tick();
+  void Lose(Peer& peer);
+  auto FindByConnection(ConnectionId connection) -> Peer*;
+
+  std::string self_;
+  TimingSettings timing_;
+  TimerService& timers_;
+  Outbox& outbox_;
+  PeerCallbacks callbacks_;
+  std::map<std::string, Peer, std::less<>> peers_;
+  std::map<ConnectionId, std::string> by_connection_;
+};
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/owner/answers.h
@@ -0,0 +1,31 @@
+#pragma once
+
+/// Builders of the answers that are not ok, each with its remedy.
+///
+/// Example:
+///   reply(Refusal(id, ErrorKind::kOverloaded, retry_after));
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "kingcuplock/schema/messages.h"
+
+namespace kingcuplock {
+
+/// Returns what went wrong and what the caller can do, for people.
+auto RemedyOf(ErrorKind error) -> std::string_view;
+
+/// Returns a `not_run` answer. Only for requests that provably did not run.
+auto Refusal(const std::string& id,
+             ErrorKind error,
+             std::int64_t retry_after_ms) -> CallerAnswer;
+
+/// Returns a `failed` answer.
+auto Failure(const std::string& id, ErrorKind error) -> CallerAnswer;
+
+/// Returns an `unknown` answer with the request id as its receipt: the same
+/// request with the same id resolves it.
+auto InDoubt(const std::string& id, ErrorKind error) -> CallerAnswer;
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/ownership/ownership_keeper.h
@@ -0,0 +1,147 @@
+#pragma once
+
+/// Ownership of databases by records in the platform's service. A record is
+/// changed by compare-and-swap only and is vacant once its lease is gone.
+///
+/// Example:
+///   OwnershipKeeper ownership(names, timing, timers, store, outbox,
+///                             {.acquired = ..., .lost = ...});
+///   ownership.SetDatabases(names_in_manifest);
+///   ownership.SetLiveInstances(live);
+///   ownership.Start();
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "kingcuplock/actions/outbox.h"
+#include "kingcuplock/base/timer_service.h"
+#include "kingcuplock/ownership/lease_keeper.h"
+#include "kingcuplock/schema/messages.h"
+#include "kingcuplock/schema/settings.h"
+#include "kingcuplock/store_client/store_client.h"
+
+namespace kingcuplock {
+
+/// What the keeper reports.
+struct OwnershipCallbacks {
+  /// This instance owns the database now, under the given record.
+  std::function<void(const std::string&, const OwnerRecord&)> acquired;
+  /// This instance owns the database no longer.
+  std::function<void(const std::string&)> lost;
+  /// Some record changed, own or not.
+  std::function<void(const std::string&, const OwnerRecord&)> changed;
+};
+
+/// Not thread safe. Events are O(log n) in databases, a lease change O(n).
+class OwnershipKeeper {
+ public:
+  /// Gets whether the record was written.
+  using WriteCallback = std::function<void(bool written)>;
+
+  OwnershipKeeper(InstanceNames names,
+                  TimingSettings timing,
+                  TimerService& timers,
+                  StoreClient& store,
+                  Outbox& outbox,
+                  OwnershipCallbacks callbacks);
+
+  /// Begins to watch records and to hold a lease.
+  void Start();
+
+  /// Sets the databases of the manifest in force.
+  void SetDatabases(std::span<const std::string> databases);
+
+  /// Sets the instances among which databases are shared out.
+  void SetLiveInstances(std::span<const std::string> instances);
+
+  /// Replaces the record of an owned database, keeping epoch, owner and lease.
+  /// Lost answers are resolved; a lost race ends the ownership.
+  void Write(const std::string& database,
+             std::int64_t term,
+             const std::string& primary,
+             Phase phase,
+             WriteCallback callback);
+
+  /// Gives an owned database up so that a successor takes it at once.
+  void Release(const std::string& database, WriteCallback callback);
+
+  /// Takes no more databases, as before a planned stop.
+  void StopAcquiring() { acquiring_ = false; }
+
+  /// Gives the lease back, after all databases were released.
+  void StopLease() { lease_.Stop(); }
+
+  /// Looks at a database at once, as after a hand-over from a peer.
+  void Evaluate(const std::string& database);
+
+  /// Returns the newest record known, or nullptr.
+  auto RecordOf(std::string_view database) const -> const OwnerRecord*;
+
+  /// Returns whether this instance owns the database.
+  auto Owns(std::string_view database) const -> bool;
+
+  /// Returns whether the record's holder may still hold its lease.
+  auto IsHeld(std::string_view database) const -> bool;
+
+  /// Returns whether the own lease is valid; see LeaseKeeper::IsValid().
+  auto LeaseIsValid() const -> bool { return lease_.IsValid(); }
+
+ private:
+  struct Entry {
+    bool in_manifest = false;
+    bool owned = false;
+    bool writing = false;
+    std::int64_t version = 0;
+    std::optional<OwnerRecord> record;
+    std::optional<Time> vacant_since;
+  };
+
+  void OnRecord(const StoreItem& item, bool deleted);
+  void OnLeaseKey(const StoreItem& item, bool deleted);
+  void OnOwnLease(std::int64_t lease);
+  void Tick();
+  void EvaluateEntry(const std::string& database, Entry& entry);
+  auto IsVacant(const Entry& entry) const -> bool;
+  auto TakeoverDelay(const std::string& database, const Entry& entry) const
+      -> Duration;
+  void VerifyVacancy(const std::string& database);
+  void TakeOver(const std::string& database);
+  void Swap(const std::string& database,
+            OwnerRecord record,
+            WriteCallback callback);
+  void SendSwap(const std::string& database,
+                const OwnerRecord& record,
+                std::int64_t expected,
+                const WriteCallback& callback);
+  void OnSwapped(const std::string& database,
+                 const OwnerRecord& record,
+                 std::int64_t expected,
+                 const WriteCallback& callback,
+                 const StoreAnswer* answer);
+  void Adopt(const std::string& database, Entry& entry);
+  void Lose(const std::string& database, Entry& entry);
+  auto RecordKey(const std::string& database) const -> std::string;
+  auto NextAttempt() -> std::string;
+
+  InstanceNames names_;
+  TimingSettings timing_;
+  TimerService& timers_;
+  StoreClient& store_;
+  Outbox& outbox_;
+  OwnershipCallbacks callbacks_;
+  LeaseKeeper lease_;
+  std::map<std::string, Entry, std::less<>> entries_;
+  std::set<std::int64_t> leases_;
+  std::vector<std::string> live_;
+  std::int64_t last_attempt_ = 0;
+  bool acquiring_ = true;
+};
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/routing/age_tracker.cc
@@ -0,0 +1,47 @@
+#include "kingcuplock/routing/age_tracker.h"
+
+#include <algorithm>
+
+namespace kingcuplock {
+namespace {
+
+/// Samples kept; at one each 50 ms this covers ages of over six minutes.
+constexpr std::size_t kMaxSamples = 8192;
+/// Shortest time between kept samples of different positions.
+constexpr Milliseconds kMinSpacing{5};
+
+}  // namespace
+
+void AgeTracker::AddSample(Time sent, LogPlace place) {
+  if (!samples_.empty() && sent < samples_.back().sent) {
+    return;
+  }
+  auto replaced = false;
+  while (!samples_.empty() && samples_.back().place >= place) {
+    samples_.pop_back();
+    replaced = true;
+  }
+  const auto too_close =
+      !samples_.empty() && sent - samples_.back().sent < kMinSpacing;
+  if (too_close && !replaced) {
+    return;
+  }
+  samples_.push_back({sent, place});
+  if (samples_.size() > kMaxSamples) {
+    samples_.pop_front();
+  }
+}
+
+auto AgeTracker::AgeAt(LogPlace place, Time now) const
+    -> std::optional<Duration> {
+  const auto it = std::upper_bound(samples_.begin(), samples_.end(), place,
+                                   [](const auto& value, const auto& sample) {
+                                     return value < sample.place;
+                                   });
+  if (it == samples_.begin()) {
+    return std::nullopt;
+  }
+  return now - std::prev(it)->sent;
+}
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/routing/age_tracker.h
@@ -0,0 +1,42 @@
+#pragma once
+
+/// Upper bound on the age of data at a log position, from samples of the
+/// primary's position. Only the instance's own clock is used.
+///
+/// Example:
+///   ages.AddSample(sent, answer.position);
+///   auto age = ages.AgeAt(replica_position, now);
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+#include "kingcuplock/base/timer_service.h"
+#include "kingcuplock/session/log_place.h"
+
+namespace kingcuplock {
+
+/// Value type. Adding is amortised O(1), asking O(log n) in samples kept.
+class AgeTracker {
+ public:
+  /// Notes that the primary's log ended at `place` or before at `sent`, the
+  /// moment at which the sample was asked for.
+  void AddSample(Time sent, LogPlace place);
+
+  /// Returns how old the data at `place` is at most, at `now`; nullopt when no
+  /// sample is old enough to tell.
+  auto AgeAt(LogPlace place, Time now) const -> std::optional<Duration>;
+
+  /// Forgets all samples, as after a change of primary.
+  void Clear() { samples_.clear(); }
+
+ private:
+  struct Sample {
+    Time sent{};
+    LogPlace place;
+  };
+
+  std::deque<Sample> samples_;
+};
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/runtime/socket_duty.cc
@@ -0,0 +1,206 @@
+#include "kingcuplock/runtime/socket_duty.h"
+
+#include <utility>
+
+#include "kingcuplock/owner/answers.h"
+#include "kingcuplock/schema/codec.h"
+
+namespace kingcuplock {
+namespace {
+
+/// Events and commands that a ring holds.
+constexpr std::size_t kRingSize = 8192;
+/// Pause in ms before events that found the ring full are tried again.
+constexpr int kOverflowPauseMs = 1;
+/// Time in ms after which a caller refused at a full ring may come back.
+constexpr std::int64_t kRingRetryMs = 200;
+
+auto Format(bool is_text) -> FrameFormat {
+  return is_text ? FrameFormat::kJson : FrameFormat::kCbor;
+}
+
+/// Returns the id of a frame that could not be read otherwise, if it has one.
+auto IdOf(const nlohmann::json& frame) -> std::string {
+  if (!frame.is_object() || !frame.contains("id") || !frame["id"].is_string()) {
+    return {};
+  }
+  return frame["id"].get<std::string>();
+}
+
+}  // namespace
+
+SocketDuty::SocketDuty(Waker& decisions)
+    : decisions_(decisions),
+      events_(kRingSize),
+      commands_(kRingSize),
+      hub_({[this](ConnectionId it, std::uint16_t) {
+              Report(ConnectionOpened{it});
+            },
+            [this](ConnectionId it, std::string payload, bool is_text) {
+              OnFrame(it, payload, is_text);
+            },
+            [this](ConnectionId it) {
+              kinds_.erase(it);
+              text_.erase(it);
+              Report(ConnectionClosed{it});
+            }}) {}
+
+SocketDuty::~SocketDuty() {
+  Stop();
+}
+
+void SocketDuty::Listen(const std::string& host, std::uint16_t port) {
+  port_ = port;
+  hub_.Listen(host, port);
+}
+
+void SocketDuty::ReportTermination() {
+  hub_.OnTerminate([this] { Report(StopRequested{}); });
+}
+
+void SocketDuty::Start() {
+  thread_ = std::thread([this] { hub_.Run(); });
+}
+
+void SocketDuty::StopAccepting() {
+  hub_.Post([this] { hub_.StopAccepting(port_); });
+}
+
+void SocketDuty::Stop() {
+  if (thread_.joinable()) {
+    hub_.Stop();
+    thread_.join();
+  }
+}
+
+auto SocketDuty::TryGive(SocketCommand& command) -> bool {
+  return commands_.TryPush(command);
+}
+
+void SocketDuty::Flush() {
+  if (!flush_pending_.exchange(true)) {
+    hub_.Post([this] { RunCommands(); });
+  }
+}
+
+void SocketDuty::Report(NodeEvent event) {
+  if (overflow_.empty() && events_.TryPush(event)) {
+    decisions_.Wake();
+    return;
+  }
+  overflow_.push_back(std::move(event));
+  if (overflow_.size() == 1) {
+    hub_.RunAfter(kOverflowPauseMs, [this] { RetryOverflow(); });
+  }
+}
+
+void SocketDuty::RetryOverflow() {
+  while (!overflow_.empty() && events_.TryPush(overflow_.front())) {
+    overflow_.pop_front();
+  }
+  decisions_.Wake();
+  if (!overflow_.empty()) {
+    hub_.RunAfter(kOverflowPauseMs, [this] { RetryOverflow(); });
+  }
+}
+
+void SocketDuty::OnFrame(ConnectionId source,
+                         const std::string& payload,
+                         bool is_text) {
+  if ((source & kInboundBit) != 0) {
+    OnInbound(source, payload, is_text);
+    return;
+  }
+  const auto kind = kinds_.find(source);
+  if (kind == kinds_.end()) {
+    return;
+  }
+  try {
+    const auto json = DecodeFrame(payload, Format(is_text));
+    MessageArrived event;
+    event.connection = source;
+    switch (kind->second) {
+      case ConnectionKind::kPeer:
+        event.message = ReadPeerMessage(json);
+        break;
+      case ConnectionKind::kMember:
+        event.message = json.get<MemberAnswer>();
+        break;
+      case ConnectionKind::kStore:
+        event.message = ReadStoreReply(json);
+        break;
+    }
+    Report(std::move(event));
+  } catch (const SchemaError&) {
+    // What it answered can't be known; closing reports it as lost.
+    hub_.Close(source);
+  }
+}
+
+void SocketDuty::OnInbound(ConnectionId source,
+                           const std::string& payload,
+                           bool is_text) {
+  text_[source] = is_text;
+  try {
+    auto message = ReadInboundMessage(DecodeFrame(payload, Format(is_text)));
+    const auto* request = std::get_if<CallerRequest>(&message);
+    if (request != nullptr && !overflow_.empty()) {
+      ++refused_;
+      const auto answer =
+          Refusal(request->id, ErrorKind::kOverloaded, kRingRetryMs);
+      hub_.Send(source, Encode(answer, Format(is_text)), is_text);
+      return;
+    }
+    MessageArrived event;
+    event.connection = source;
+    event.message = std::move(message);
+    Report(std::move(event));
+  } catch (const SchemaError& ex) {
+    RejectFrame(source, payload, is_text, ex.what());
+  }
+}
+
+void SocketDuty::RejectFrame(ConnectionId source,
+                             const std::string& payload,
+                             bool is_text,
+                             const std::string& reason) {
+  std::string id;
+  try {
+    id = IdOf(DecodeFrame(payload, Format(is_text)));
+  } catch (const SchemaError&) {
+    id.clear();
+  }
+  auto answer = Refusal(id, ErrorKind::kBadFrame, 0);
+  answer.message += ": " + reason;
+  hub_.Send(source, Encode(answer, Format(is_text)), is_text);
+}
+
+void SocketDuty::RunCommands() {
+  flush_pending_.store(false);
+  SocketCommand command;
+  while (commands_.TryPop(command)) {
+    Perform(command);
+  }
+  decisions_.Wake();
+}
+
+void SocketDuty::Perform(const SocketCommand& command) {
+  if (const auto* open = std::get_if<OpenConnection>(&command)) {
+    kinds_[open->connection] = open->kind;
+    hub_.Connect(open->connection, open->host,
+                 static_cast<std::uint16_t>(open->port), open->timeout_ms);
+  } else if (const auto* close = std::get_if<CloseConnection>(&command)) {
+    hub_.Close(close->connection);
+  } else if (const auto* send = std::get_if<SendMessage>(&command)) {
+    const auto it = text_.find(send->connection);
+    const auto is_text = it != text_.end() && it->second;
+    const auto frame = std::visit(
+        [is_text](const auto& message) {
+          return Encode(message, Format(is_text));
+        },
+        send->message);
+    hub_.Send(send->connection, frame, is_text);
+  }
+}
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/runtime/socket_duty.h
@@ -0,0 +1,93 @@
+#pragma once
+
+/// A thread that owns sockets: decodes what arrives, encodes what leaves, and
+/// is joined to the decision thread by two bounded rings.
+///
+/// Example:
+///   SocketDuty sockets(waker);
+///   sockets.Listen(host, port);
+///   sockets.Start();
+///   while (sockets.TryTake(event)) { node.Handle(event); }
+
+#include <atomic>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <variant>
+
+#include "kingcuplock/actions/outbox.h"
+#include "kingcuplock/base/ring.h"
+#include "kingcuplock/transport/web_socket_hub.h"
+
+namespace kingcuplock {
+
+/// What the decision thread asks of a socket thread.
+using SocketCommand =
+    std::variant<std::monostate, OpenConnection, CloseConnection, SendMessage>;
+
+/// Listen(), OnTerminate() and Start() before the rest. TryTake() and
+/// TryGive() are for the decision thread.
+class SocketDuty {
+ public:
+  /// `decisions` is woken when events arrive.
+  explicit SocketDuty(Waker& decisions);
+  ~SocketDuty();
+  SocketDuty(const SocketDuty&) = delete;
+  auto operator=(const SocketDuty&) -> SocketDuty& = delete;
+
+  /// Accepts callers and peers. Throws std::runtime_error if it can't.
+  void Listen(const std::string& host, std::uint16_t port);
+
+  /// Reports SIGTERM and SIGINT as StopRequested.
+  void ReportTermination();
+
+  /// Starts the thread.
+  void Start();
+
+  /// Closes the listening socket; open connections stay. Thread safe.
+  void StopAccepting();
+
+  /// Stops the thread and joins it.
+  void Stop();
+
+  /// Takes the next event. Returns false when there is none.
+  auto TryTake(NodeEvent& out) -> bool { return events_.TryPop(out); }
+
+  /// Gives a command. Returns false, leaving it as it is, when the ring is
+  /// full.
+  auto TryGive(SocketCommand& command) -> bool;
+
+  /// Wakes the socket thread after commands were given.
+  void Flush();
+
+  /// Returns the number of requests refused because the ring was full.
+  auto Refused() const -> std::uint64_t { return refused_.load(); }
+
+ private:
+  void Report(NodeEvent event);
+  void RetryOverflow();
+  void OnFrame(ConnectionId source, const std::string& payload, bool is_text);
+  void OnInbound(ConnectionId source, const std::string& payload, bool is_text);
+  void RejectFrame(ConnectionId source,
+                   const std::string& payload,
+                   bool is_text,
+                   const std::string& reason);
+  void RunCommands();
+  void Perform(const SocketCommand& command);
+
+  Waker& decisions_;
+  Ring<NodeEvent> events_;
+  Ring<SocketCommand> commands_;
+  std::atomic<bool> flush_pending_{false};
+  std::atomic<std::uint64_t> refused_{0};
+  std::deque<NodeEvent> overflow_;
+  std::unordered_map<ConnectionId, ConnectionKind> kinds_;
+  std::unordered_map<ConnectionId, bool> text_;
+  std::uint16_t port_ = 0;
+  WebSocketHub hub_;
+  std::thread thread_;
+};
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/schema/settings.cc
@@ -0,0 +1,99 @@
+#include "kingcuplock/schema/settings.h"
+
+#include <array>
+
+#include "kingcuplock/schema/json_field.h"
+
+namespace kingcuplock {
+
+void to_json(nlohmann::json& out, const Address& value) {
+  out = nlohmann::json::object();
+  out["host"] = value.host;
+  out["port"] = value.port;
+}
+
+void from_json(const nlohmann::json& in, Address& value) {
+  internal::RequireObject(in, "Address");
+  internal::ReadRequired(in, "host", value.host);
+  internal::ReadRequired(in, "port", value.port);
+}
+
+void to_json(nlohmann::json& out, const PeerAddress& value) {
+  out = nlohmann::json::object();
+  out["name"] = value.name;
+  out["host"] = value.host;
+  out["port"] = value.port;
+}
+
+void from_json(const nlohmann::json& in, PeerAddress& value) {
+  internal::RequireObject(in, "PeerAddress");
+  internal::ReadRequired(in, "name", value.name);
+  internal::ReadRequired(in, "host", value.host);
+  internal::ReadRequired(in, "port", value.port);
+}
+
+void to_json(nlohmann::json& out, const TimingSettings& value) {
+  out = nlohmann::json::object();
+  static const TimingSettings kDefaults;
+  internal::WriteOptional(out, "lease_ttl_ms", value.lease_ttl_ms,
+                          kDefaults.lease_ttl_ms);
+  internal::WriteOptional(out, "lease_renew_ms", value.lease_renew_ms,
+                          kDefaults.lease_renew_ms);
+  internal::WriteOptional(out, "lease_margin_ms", value.lease_margin_ms,
+                          kDefaults.lease_margin_ms);
+  internal::WriteOptional(out, "heartbeat_ms", value.heartbeat_ms,
+                          kDefaults.heartbeat_ms);
+  internal::WriteOptional(out, "peer_timeout_ms", value.peer_timeout_ms,
+                          kDefaults.peer_timeout_ms);
+  internal::WriteOptional(out, "probe_ms", value.probe_ms, kDefaults.probe_ms);
+  internal::WriteOptional(out, "probe_timeout_ms", value.probe_timeout_ms,
+                          kDefaults.probe_timeout_ms);
+  internal::WriteOptional(out, "takeover_step_ms", value.takeover_step_ms,
+                          kDefaults.takeover_step_ms);
+  internal::WriteOptional(out, "store_timeout_ms", value.store_timeout_ms,
+                          kDefaults.store_timeout_ms);
+  internal::WriteOptional(out, "drain_ms", value.drain_ms, kDefaults.drain_ms);
+}
+
+void from_json(const nlohmann::json& in, TimingSettings& value) {
+  internal::RequireObject(in, "TimingSettings");
+  internal::ReadOptional(in, "lease_ttl_ms", value.lease_ttl_ms);
+  internal::ReadOptional(in, "lease_renew_ms", value.lease_renew_ms);
+  internal::ReadOptional(in, "lease_margin_ms", value.lease_margin_ms);
+  internal::ReadOptional(in, "heartbeat_ms", value.heartbeat_ms);
+  internal::ReadOptional(in, "peer_timeout_ms", value.peer_timeout_ms);
+  internal::ReadOptional(in, "probe_ms", value.probe_ms);
+  internal::ReadOptional(in, "probe_timeout_ms", value.probe_timeout_ms);
+  internal::ReadOptional(in, "takeover_step_ms", value.takeover_step_ms);
+  internal::ReadOptional(in, "store_timeout_ms", value.store_timeout_ms);
+  internal::ReadOptional(in, "drain_ms", value.drain_ms);
+}
+
+void to_json(nlohmann::json& out, const ProxySettings& value) {
+  out = nlohmann::json::object();
+  static const ProxySettings kDefaults;
+  out["instance"] = value.instance;
+  out["deployment"] = value.deployment;
+  internal::WriteOptional(out, "data_centre", value.data_centre,
+                          kDefaults.data_centre);
+  out["listen"] = value.listen;
+  out["store"] = value.store;
+  internal::WriteOptional(out, "peers", value.peers, kDefaults.peers);
+  internal::WriteOptional(out, "timing", value.timing, kDefaults.timing);
+}
+
+void from_json(const nlohmann::json& in, ProxySettings& value) {
+  internal::RequireObject(in, "ProxySettings");
+  internal::ReadRequired(in, "instance", value.instance);
+  internal::ReadRequired(in, "deployment", value.deployment);
+  internal::ReadOptional(in, "data_centre", value.data_centre);
+  internal::ReadRequired(in, "listen", value.listen);
+  internal::ReadRequired(in, "store", value.store);
+  internal::ReadOptional(in, "peers", value.peers);
+  internal::ReadOptional(in, "timing", value.timing);
+}
+
+const std::string_view kSettingsSchema =
+    R"json({"$schema":"http://json-schema.org/draft-07/schema#","title":"Settings of one kingcuplock-proxy","allOf":[{"$ref":"#/$defs/ProxySettings"}],"$defs":{"Address":{"description":"TCP address by IP number.","type":"object","required":["host","port"],"additionalProperties":false,"properties":{"host":{"type":"string","minLength":1,"description":"IP number."},"port":{"type":"integer","minimum":1,"maximum":65535,"description":"TCP port."}}},"PeerAddress":{"description":"Address of another instance, used until the platform's list is known.","type":"object","required":["name","host","port"],"additionalProperties":false,"properties":{"name":{"type":"string","minLength":1,"description":"Instance name."},"host":{"type":"string","minLength":1,"description":"IP number."},"port":{"type":"integer","minimum":1,"maximum":65535,"description":"TCP port."}}},"TimingSettings":{"description":"Timings of one instance. Every instance of a deployment has the same.","type":"object","required":[],"additionalProperties":false,"properties":{"lease_ttl_ms":{"type":"integer","minimum":500,"default":2000,"description":"Time to live of the lease in ms."},"lease_renew_ms":{"type":"integer","minimum":50,"default":500,"description":"Interval between renewals in ms."},"lease_margin_ms":{"type":"integer","minimum":10,"default":200,"description":"Time in ms taken off the lease for clock drift."},"heartbeat_ms":{"type":"integer","minimum":20,"default":200,"description":"Interval between heartbeats on a peer link in ms."},"peer_timeout_ms":{"type":"integer","minimum":50,"default":1000,"description":"Silence in ms after which a peer link is replaced."},"probe_ms":{"type":"integer","minimum":10,"default":50,"description":"Interval between samples of a member in ms."},"probe_timeout_ms":{"type":"integer","minimum":20,"default":150,"description":"Time in ms after which a probe counts as unanswered."},"takeover_step_ms":{"type":"integer","minimum":10,"default":300,"description":"Delay in ms per place in the order of succession."},"store_timeout_ms":{"type":"integer","minimum":50,"default":1500,"description":"Time in ms after which a store call counts as lost."},"drain_ms":{"type":"integer","minimum":100,"default":10000,"description":"Longest time in ms of a planned stop."}}},"ProxySettings":{"description":"Settings of one instance.","type":"object","required":["instance","deployment","listen","store"],"additionalProperties":false,"properties":{"instance":{"type":"string","minLength":1,"description":"Own name, unique in the deployment."},"deployment":{"type":"string","minLength":1,"description":"Deployment name; prefix of the keys in the store."},"data_centre":{"type":"string","description":"Own data centre."},"listen":{"$ref":"#/$defs/Address","description":"Own address, for callers and peers."},"store":{"$ref":"#/$defs/Address","description":"Address of the platform's key-value service."},"peers":{"type":"array","items":{"$ref":"#/$defs/PeerAddress"},"description":"Other instances."},"timing":{"$ref":"#/$defs/TimingSettings","description":"Timings."}}}}})json";
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/session/token.cc
@@ -0,0 +1,99 @@
+#include "kingcuplock/session/token.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+namespace kingcuplock {
+namespace {
+
+/// First character of a token; raised when the format changes.
+constexpr char kFormatVersion = '1';
+/// Hexadecimal digits of the checksum.
+constexpr std::size_t kChecksumDigits = 16;
+constexpr std::string_view kRemedy =
+    "the session token is damaged; repeat the request with the token of the "
+    "last answer, or without one to begin a new session";
+
+auto Checksum(std::string_view body) -> std::string {
+  return fmt::format("{:016x}", XXH64(body.data(), body.size(), 0));
+}
+
+[[noreturn]] void Reject() {
+  throw TokenError(std::string(kRemedy));
+}
+
+auto ReadNumber(std::string_view text) -> std::int64_t {
+  std::int64_t value = 0;
+  const auto [end, ec] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (ec != std::errc() || end != text.data() + text.size() || value < 0) {
+    Reject();
+  }
+  return value;
+}
+
+/// Cuts `text` at the last `separator`; throws TokenError if there is none.
+auto SplitLast(std::string_view text, char separator)
+    -> std::pair<std::string_view, std::string_view> {
+  const auto at = text.rfind(separator);
+  if (at == std::string_view::npos) {
+    Reject();
+  }
+  return {text.substr(0, at), text.substr(at + 1)};
+}
+
+}  // namespace
+
+auto SessionToken::Parse(std::string_view text) -> SessionToken {
+  SessionToken token;
+  if (text.empty()) {
+    return token;
+  }
+  if (text.size() < 1 + kChecksumDigits || text.front() != kFormatVersion) {
+    Reject();
+  }
+  auto body = text.substr(1 + kChecksumDigits);
+  if (text.substr(1, kChecksumDigits) != Checksum(body)) {
+    Reject();
+  }
+  while (!body.empty()) {
+    const auto end = std::min(body.find(';'), body.size());
+    const auto [rest, position] = SplitLast(body.substr(0, end), '.');
+    const auto [database, term] = SplitLast(rest, '.');
+    token.Advance(database, {ReadNumber(term), ReadNumber(position)});
+    body.remove_prefix(std::min(end + 1, body.size()));
+  }
+  return token;
+}
+
+auto SessionToken::Format() const -> std::string {
+  if (places_.empty()) {
+    return {};
+  }
+  std::string body;
+  for (const auto& [database, place] : places_) {
+    body += fmt::format("{}{}.{}.{}", body.empty() ? "" : ";", database,
+                        place.term, place.position);
+  }
+  return kFormatVersion + Checksum(body) + body;
+}
+
+auto SessionToken::PlaceIn(std::string_view database) const -> LogPlace {
+  const auto it = places_.find(database);
+  return it == places_.end() ? LogPlace{} : it->second;
+}
+
+void SessionToken::Advance(std::string_view database, LogPlace place) {
+  const auto it = places_.find(database);
+  if (it == places_.end()) {
+    places_.emplace(database, place);
+    return;
+  }
+  it->second = std::max(it->second, place);
+}
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/session/token_test.cc
@@ -0,0 +1,58 @@
+#include "kingcuplock/session/token.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+namespace kingcuplock {
+namespace {
+
+auto AnyPlace() -> rc::Gen<LogPlace> {
+  return rc::gen::build<LogPlace>(
+      rc::gen::set(&LogPlace::term, rc::gen::inRange<std::int64_t>(0, 1000)),
+      rc::gen::set(&LogPlace::position,
+                   rc::gen::inRange<std::int64_t>(0, 1LL << 40)));
+}
+
+TEST_CASE("A token survives formatting and parsing") {
+  CHECK(rc::check([] {
+    SessionToken token;
+    const auto names = *rc::gen::container<std::vector<std::string>>(
+        rc::gen::nonEmpty(rc::gen::container<std::string>(
+            rc::gen::elementOf(std::string("abc-.01")))));
+    for (const auto& it : names) {
+      token.Advance(it, *AnyPlace());
+    }
+    RC_ASSERT(SessionToken::Parse(token.Format()) == token);
+  }));
+}
+
+TEST_CASE("A token with any character changed or cut is refused") {
+  CHECK(rc::check([] {
+    SessionToken token;
+    token.Advance("bookings", *AnyPlace());
+    auto text = token.Format();
+    const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+    if (*rc::gen::arbitrary<bool>()) {
+      text[at] = static_cast<char>(text[at] ^ 1);
+    } else if (at > 0) {
+      text.resize(at);
+    } else {
+      text += "x";
+    }
+    RC_ASSERT_THROWS_AS(SessionToken::Parse(text), TokenError);
+  }));
+}
+
+TEST_CASE("A place never goes back") {
+  CHECK(rc::check([] {
+    SessionToken token;
+    const auto a = *AnyPlace();
+    const auto b = *AnyPlace();
+    token.Advance("bookings", a);
+    token.Advance("bookings", b);
+    RC_ASSERT(token.PlaceIn("bookings") == std::max(a, b));
+  }));
+}
+
+}  // namespace
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/store_client/store_client.cc
@@ -0,0 +1,182 @@
+#include "kingcuplock/store_client/store_client.h"
+
+#include <utility>
+
+namespace kingcuplock {
+namespace {
+
+/// Pause in ms before the connection is opened again.
+constexpr int kReconnectMs = 100;
+/// Longest time in ms to open a connection.
+constexpr int kConnectTimeoutMs = 500;
+
+}  // namespace
+
+StoreClient::StoreClient(Address address,
+                         TimingSettings timing,
+                         TimerService& timers,
+                         Outbox& outbox)
+    : address_(std::move(address)),
+      timing_(timing),
+      timers_(timers),
+      outbox_(outbox) {}
+
+void StoreClient::Start() {
+  Connect();
+}
+
+void StoreClient::Connect() {
+  open_ = false;
+  connection_ = outbox_.Open(ConnectionKind::kStore, address_.host,
+                             address_.port, kConnectTimeoutMs);
+}
+
+void StoreClient::Call(StoreCall call, Callback callback) {
+  call.id = ++last_id_;
+  const auto id = call.id;
+  const auto timer = timers_.After(Milliseconds(timing_.store_timeout_ms),
+                                   [this, id] { Fail(id); });
+  auto& entry = calls_[id];
+  entry.callback = std::move(callback);
+  entry.timer = timer;
+  if (open_) {
+    outbox_.Send(connection_, std::move(call));
+  } else {
+    entry.unsent = std::move(call);
+  }
+}
+
+void StoreClient::Watch(std::string prefix, WatchCallback callback) {
+  watches_.push_back({std::move(prefix), std::move(callback), {}});
+  if (open_) {
+    SendWatch(watches_.size() - 1);
+  }
+}
+
+void StoreClient::SendWatch(std::size_t index) {
+  StoreCall call;
+  call.op = StoreOp::kWatch;
+  call.key = watches_[index].prefix;
+  Call(std::move(call), [this, index](const StoreAnswer* answer) {
+    OnWatchAnswer(index, answer);
+  });
+}
+
+void StoreClient::OnWatchAnswer(std::size_t index, const StoreAnswer* answer) {
+  if (answer == nullptr) {
+    if (open_) {
+      SendWatch(index);
+    }
+    return;
+  }
+  auto& watch = watches_[index];
+  std::map<std::string, std::int64_t> gone = watch.versions;
+  for (const auto& it : answer->items) {
+    gone.erase(it.key);
+    Notify(watch, it, false);
+  }
+  for (const auto& [key, version] : gone) {
+    Notify(watch, {key, "", version + 1}, true);
+  }
+}
+
+void StoreClient::Notify(WatchEntry& watch,
+                         const StoreItem& item,
+                         bool deleted) {
+  auto& known = watch.versions[item.key];
+  if (item.version <= known) {
+    return;
+  }
+  known = item.version;
+  if (deleted) {
+    watch.versions.erase(item.key);
+  }
+  watch.callback(item, deleted);
+}
+
+auto StoreClient::OnOpened(ConnectionId connection) -> bool {
+  if (connection != connection_) {
+    return false;
+  }
+  open_ = true;
+  last_heard_ = timers_.Now();
+  for (auto& [id, call] : calls_) {
+    if (call.unsent) {
+      outbox_.Send(connection_, *std::exchange(call.unsent, std::nullopt));
+    }
+  }
+  for (std::size_t n = 0; n < watches_.size(); ++n) {
+    SendWatch(n);
+  }
+  return true;
+}
+
+auto StoreClient::OnClosed(ConnectionId connection) -> bool {
+  if (connection != connection_) {
+    return false;
+  }
+  open_ = false;
+  SetReachable(false);
+  for (auto& [id, call] : std::exchange(calls_, {})) {
+    timers_.Cancel(call.timer);
+    call.callback(nullptr);
+  }
+  timers_.After(Milliseconds(kReconnectMs), [this] { Connect(); });
+  return true;
+}
+
+auto StoreClient::OnReply(ConnectionId connection, const StoreReply& reply)
+    -> bool {
+  if (connection != connection_) {
+    return false;
+  }
+  SetReachable(true);
+  last_heard_ = timers_.Now();
+  if (const auto* answer = std::get_if<StoreAnswer>(&reply)) {
+    OnAnswer(*answer);
+    return true;
+  }
+  const auto& event = std::get<StoreEvent>(reply);
+  for (auto& it : watches_) {
+    if (event.item.key.starts_with(it.prefix)) {
+      Notify(it, event.item, event.deleted);
+    }
+  }
+  return true;
+}
+
+void StoreClient::OnAnswer(const StoreAnswer& answer) {
+  auto node = calls_.extract(answer.id);
+  if (node.empty()) {
+    return;
+  }
+  timers_.Cancel(node.mapped().timer);
+  node.mapped().callback(&answer);
+}
+
+void StoreClient::Fail(std::int64_t id) {
+  SetReachable(false);
+  auto node = calls_.extract(id);
+  if (!node.empty()) {
+    node.mapped().callback(nullptr);
+  }
+  ReplaceIfSilent();
+}
+
+void StoreClient::ReplaceIfSilent() {
+  const auto silence = timers_.Now() - last_heard_;
+  if (open_ && silence >= Milliseconds(timing_.store_timeout_ms)) {
+    open_ = false;
+    outbox_.Close(connection_);
+  }
+}
+
+void StoreClient::SetReachable(bool reachable) {
+  if (std::exchange(reachable_, reachable) != reachable) {
+    outbox_.Log(
+        reachable ? Event::kStoreUp : Event::kStoreDown,
+        {{"host", address_.host}, {"port", std::to_string(address_.port)}});
+  }
+}
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/standin/database/database_group.cc
@@ -0,0 +1,423 @@
+#include "standin/database/database_group.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace kingcuplock {
+namespace {
+
+/// Changes of one transaction on top of the committed rows.
+class Workspace {
+ public:
+  explicit Workspace(const std::map<std::string, std::string>& rows)
+      : rows_(rows) {}
+
+  /// Runs a statement. Returns nullopt when the database refuses it.
+  auto Run(const Statement& statement) -> std::optional<StatementResult> {
+    const auto current = Current(statement.key);
+    StatementResult result;
+    result.found = current.has_value();
+    switch (statement.verb) {
+      case Verb::kGet:
+        result.value = current.value_or("");
+        break;
+      case Verb::kPut:
+        changes_[statement.key] = statement.value;
+        break;
+      case Verb::kInsert:
+        if (current) {
+          return std::nullopt;
+        }
+        changes_[statement.key] = statement.value;
+        break;
+      case Verb::kAppend:
+        changes_[statement.key] =
+            current ? *current + "," + statement.value : statement.value;
+        break;
+      case Verb::kRemove:
+        changes_[statement.key] = std::nullopt;
+        break;
+    }
+    return result;
+  }
+
+  /// Runs all, or returns nullopt when one is refused.
+  auto RunAll(const std::vector<Statement>& statements)
+      -> std::optional<std::vector<StatementResult>> {
+    std::vector<StatementResult> results;
+    for (const auto& it : statements) {
+      auto result = Run(it);
+      if (!result) {
+        return std::nullopt;
+      }
+      results.push_back(std::move(*result));
+    }
+    return results;
+  }
+
+  auto changes() const
+      -> const std::map<std::string, std::optional<std::string>>& {
+    return changes_;
+  }
+
+ private:
+  auto Current(const std::string& key) const -> std::optional<std::string> {
+    if (const auto it = changes_.find(key); it != changes_.end()) {
+      return it->second;
+    }
+    if (const auto it = rows_.find(key); it != rows_.end()) {
+      return it->second;
+    }
+    return std::nullopt;
+  }
+
+  const std::map<std::string, std::string>& rows_;
+  std::map<std::string, std::optional<std::string>> changes_;
+};
+
+void Apply(MemberState& member, const LogEntry& entry) {
+  for (const auto& [key, value] : entry.rows) {
+    if (value) {
+      member.rows[key] = *value;
+    } else {
+      member.rows.erase(key);
+    }
+  }
+  if (entry.epoch != 0) {
+    member.epoch = entry.epoch;
+  }
+  member.pruned_before_ms =
+      std::max(member.pruned_before_ms, entry.prune_before_ms);
+  std::erase_if(member.markers, [&](const auto& it) {
+    return it.second.issued_ms < entry.prune_before_ms;
+  });
+  if (!entry.marker.empty()) {
+    member.markers[entry.marker] = {
+        static_cast<std::int64_t>(member.log.size()), entry.issued_ms,
+        entry.results};
+  }
+}
+
+void Append(MemberState& member, LogEntry entry) {
+  member.log.push_back(std::move(entry));
+  Apply(member, member.log.back());
+}
+
+/// Cuts the log and rebuilds what follows from it.
+void Truncate(MemberState& member, std::size_t size) {
+  auto log = std::move(member.log);
+  log.resize(size);
+  member.log.clear();
+  member.rows.clear();
+  member.markers.clear();
+  member.epoch = 0;
+  member.pruned_before_ms = 0;
+  for (auto& it : log) {
+    Append(member, std::move(it));
+  }
+}
+
+auto CommonPrefix(const MemberState& a, const MemberState& b) -> std::size_t {
+  const auto ends = std::mismatch(
+      a.log.begin(), a.log.end(), b.log.begin(), b.log.end(),
+      [](const auto& x, const auto& y) { return x.serial == y.serial; });
+  return static_cast<std::size_t>(ends.first - a.log.begin());
+}
+
+auto LastTerm(const MemberState& member) -> std::int64_t {
+  return member.log.empty() ? 0 : member.log.back().term;
+}
+
+/// Returns why a request for the primary can't run at `member`, or kDone.
+auto CheckPrimary(const MemberState& member, const MemberRequest& request)
+    -> MemberStatus {
+  if (member.role != MemberRole::kPrimary) {
+    return MemberStatus::kNotPrimary;
+  }
+  if (request.term != 0 && request.term != member.term) {
+    return MemberStatus::kStaleTerm;
+  }
+  return MemberStatus::kDone;
+}
+
+auto Refused(const MemberState& member, std::int64_t request_id)
+    -> MemberAnswer {
+  auto answer =
+      DatabaseGroup::Stamp(member, request_id, MemberStatus::kRejected);
+  answer.message = "a row to insert exists";
+  return answer;
+}
+
+}  // namespace
+
+DatabaseGroup::DatabaseGroup(const std::vector<std::string>& names) {
+  for (const auto& it : names) {
+    MemberState member;
+    member.name = it;
+    member.primary = names.front();
+    members_.push_back(std::move(member));
+  }
+  members_.front().role = MemberRole::kPrimary;
+}
+
+auto DatabaseGroup::Handle(std::string_view name,
+                           const MemberRequest& request,
+                           std::int64_t now_us) -> MemberAnswer {
+  auto& target = member(name);
+  switch (request.op) {
+    case MemberOp::kStatus:
+    case MemberOp::kAwaitPosition:
+      return Stamp(target, request.id, MemberStatus::kDone);
+    case MemberOp::kRead:
+      return Read(target, request);
+    case MemberOp::kExecute:
+      return Execute(target, request, now_us);
+    case MemberOp::kRaiseEpoch:
+      return RaiseEpoch(target, request, now_us);
+    case MemberOp::kLookup:
+      return Lookup(target, request);
+    case MemberOp::kPromote:
+      return Promote(target, request);
+    case MemberOp::kFollow:
+      return Follow(target, request);
+    case MemberOp::kPrune:
+      return Prune(target, request, now_us);
+    case MemberOp::kBegin:
+    case MemberOp::kStatement:
+    case MemberOp::kCommit:
+    case MemberOp::kRollback:
+      break;
+  }
+  return Stamp(target, request.id, MemberStatus::kRejected);
+}
+
+auto DatabaseGroup::Stamp(const MemberState& member,
+                          std::int64_t request_id,
+                          MemberStatus status) -> MemberAnswer {
+  MemberAnswer answer;
+  answer.id = request_id;
+  answer.status = status;
+  answer.term = member.term;
+  answer.entry_term = LastTerm(member);
+  answer.position = static_cast<std::int64_t>(member.log.size());
+  answer.role = member.role;
+  answer.epoch = member.epoch;
+  return answer;
+}
+
+auto DatabaseGroup::Execute(MemberState& member,
+                            const MemberRequest& request,
+                            std::int64_t now_us) -> MemberAnswer {
+  const auto status = CheckPrimary(member, request);
+  if (status != MemberStatus::kDone) {
+    return Stamp(member, request.id, status);
+  }
+  if (request.epoch != member.epoch) {
+    return Stamp(member, request.id, MemberStatus::kFenced);
+  }
+  if (!request.request_id.empty() &&
+      member.markers.contains(request.request_id)) {
+    return Lookup(member, request);
+  }
+  if (!request.request_id.empty() &&
+      request.issued_ms < member.pruned_before_ms) {
+    return Stamp(member, request.id, MemberStatus::kExpired);
+  }
+  Workspace workspace(member.rows);
+  const auto results = workspace.RunAll(request.statements);
+  if (!results) {
+    return Refused(member, request.id);
+  }
+  LogEntry entry;
+  entry.results = *results;
+  entry.rows.assign(workspace.changes().begin(), workspace.changes().end());
+  entry.marker = request.request_id;
+  entry.issued_ms = request.issued_ms;
+  Commit(member, std::move(entry), now_us);
+  auto answer = Stamp(member, request.id, MemberStatus::kDone);
+  answer.results = *results;
+  return answer;
+}
+
+auto DatabaseGroup::Preview(std::string_view name, const MemberRequest& request)
+    -> MemberAnswer {
+  const auto& target = member(name);
+  const auto status = CheckPrimary(target, request);
+  if (status != MemberStatus::kDone) {
+    return Stamp(target, request.id, status);
+  }
+  const auto results = Workspace(target.rows).RunAll(request.statements);
+  if (!results) {
+    return Refused(target, request.id);
+  }
+  auto answer = Stamp(target, request.id, MemberStatus::kDone);
+  answer.results = *results;
+  return answer;
+}
+
+auto DatabaseGroup::Read(const MemberState& member,
+                         const MemberRequest& request) const -> MemberAnswer {
+  auto answer = Stamp(member, request.id, MemberStatus::kDone);
+  Workspace workspace(member.rows);
+  for (const auto& it : request.statements) {
+    if (it.verb != Verb::kGet) {
+      answer.status = MemberStatus::kRejected;
+      answer.message = "a read runs get statements only";
+      answer.results.clear();
+      return answer;
+    }
+    answer.results.push_back(*workspace.Run(it));
+  }
+  return answer;
+}
+
+auto DatabaseGroup::RaiseEpoch(MemberState& member,
+                               const MemberRequest& request,
+                               std::int64_t now_us) -> MemberAnswer {
+  const auto status = CheckPrimary(member, request);
+  if (status != MemberStatus::kDone) {
+    return Stamp(member, request.id, status);
+  }
+  if (request.epoch < member.epoch) {
+    return Stamp(member, request.id, MemberStatus::kFenced);
+  }
+  if (request.epoch > member.epoch || LastTerm(member) != member.term) {
+    LogEntry entry;
+    entry.epoch = request.epoch;
+    Commit(member, std::move(entry), now_us);
+  }
+  return Stamp(member, request.id, MemberStatus::kDone);
+}
+
+auto DatabaseGroup::Prune(MemberState& member,
+                          const MemberRequest& request,
+                          std::int64_t now_us) -> MemberAnswer {
+  const auto status = CheckPrimary(member, request);
+  if (status != MemberStatus::kDone) {
+    return Stamp(member, request.id, status);
+  }
+  if (request.epoch != member.epoch) {
+    return Stamp(member, request.id, MemberStatus::kFenced);
+  }
+  LogEntry entry;
+  entry.prune_before_ms = request.issued_ms;
+  Commit(member, std::move(entry), now_us);
+  return Stamp(member, request.id, MemberStatus::kDone);
+}
+
+auto DatabaseGroup::Lookup(const MemberState& member,
+                           const MemberRequest& request) const -> MemberAnswer {
+  const auto status = CheckPrimary(member, request);
+  if (status != MemberStatus::kDone) {
+    return Stamp(member, request.id, status);
+  }
+  if (request.epoch != member.epoch) {
+    return Stamp(member, request.id, MemberStatus::kFenced);
+  }
+  const auto it = member.markers.find(request.request_id);
+  if (it == member.markers.end()) {
+    return Stamp(member, request.id, MemberStatus::kAbsent);
+  }
+  auto answer = Stamp(member, request.id, MemberStatus::kDone);
+  answer.position = it->second.position;
+  answer.results = it->second.results;
+  answer.replayed = true;
+  return answer;
+}
+
+auto DatabaseGroup::Promote(MemberState& member, const MemberRequest& request)
+    -> MemberAnswer {
+  if (member.role == MemberRole::kPrimary && member.term == request.term) {
+    return Stamp(member, request.id, MemberStatus::kDone);
+  }
+  if (request.term <= member.term) {
+    return Stamp(member, request.id, MemberStatus::kStaleTerm);
+  }
+  const std::pair<std::int64_t, std::int64_t> has{
+      LastTerm(member), static_cast<std::int64_t>(member.log.size())};
+  if (has < std::pair{request.entry_term, request.position}) {
+    return Stamp(member, request.id, MemberStatus::kBehind);
+  }
+  member.role = MemberRole::kPrimary;
+  member.term = request.term;
+  member.primary = member.name;
+  member.must_rejoin = false;
+  return Stamp(member, request.id, MemberStatus::kDone);
+}
+
+auto DatabaseGroup::Follow(MemberState& member, const MemberRequest& request)
+    -> MemberAnswer {
+  const auto leads_term =
+      member.role == MemberRole::kPrimary && member.term == request.term;
+  if (request.term < member.term || leads_term) {
+    return Stamp(member, request.id, MemberStatus::kStaleTerm);
+  }
+  if (member.term != request.term || member.primary != request.primary) {
+    member.must_rejoin = true;
+  }
+  member.role = MemberRole::kReplica;
+  member.term = request.term;
+  member.primary = request.primary;
+  return Stamp(member, request.id, MemberStatus::kDone);
+}
+
+void DatabaseGroup::Commit(MemberState& member,
+                           LogEntry entry,
+                           std::int64_t now_us) {
+  entry.term = member.term;
+  entry.serial = ++last_serial_;
+  entry.committed_us = now_us;
+  Append(member, std::move(entry));
+}
+
+void DatabaseGroup::Replicate(std::int64_t now_us) {
+  for (auto& it : members_) {
+    if (it.role == MemberRole::kReplica) {
+      ReplicateOne(it, now_us);
+    }
+  }
+}
+
+void DatabaseGroup::ReplicateOne(MemberState& replica, std::int64_t now_us) {
+  const auto* source = Find(replica.primary);
+  const auto reachable = [](const MemberState& it) {
+    return it.alive && !it.paused && !it.isolated;
+  };
+  if (source == nullptr || !reachable(replica) || !reachable(*source)) {
+    return;
+  }
+  if (source->role != MemberRole::kPrimary || source->term != replica.term) {
+    return;
+  }
+  if (replica.must_rejoin) {
+    const auto prefix = CommonPrefix(replica, *source);
+    if (prefix < replica.log.size()) {
+      Truncate(replica, prefix);
+    }
+    replica.must_rejoin = false;
+  }
+  while (replica.log.size() < source->log.size()) {
+    const auto& next = source->log[replica.log.size()];
+    if (next.committed_us + replica.lag_us > now_us) {
+      return;
+    }
+    Append(replica, next);
+  }
+}
+
+auto DatabaseGroup::Find(std::string_view name) -> MemberState* {
+  const auto it =
+      std::find_if(members_.begin(), members_.end(),
+                   [name](const auto& member) { return member.name == name; });
+  return it == members_.end() ? nullptr : &*it;
+}
+
+auto DatabaseGroup::member(std::string_view name) -> MemberState& {
+  auto* found = Find(name);
+  if (found == nullptr) {
+    throw std::out_of_range("no member named " + std::string(name));
+  }
+  return *found;
+}
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/standin/store/key_value_store.cc
@@ -0,0 +1,148 @@
+#include "standin/store/key_value_store.h"
+
+#include <utility>
+
+namespace kingcuplock {
+namespace {
+
+auto Answer(const StoreCall& call, StoreStatus status) -> StoreAnswer {
+  StoreAnswer answer;
+  answer.id = call.id;
+  answer.status = status;
+  return answer;
+}
+
+}  // namespace
+
+auto KeyValueStore::Handle(const StoreCall& call, std::int64_t now_ms)
+    -> StoreAnswer {
+  Expire(now_ms);
+  switch (call.op) {
+    case StoreOp::kGet:
+      return Get(call);
+    case StoreOp::kRange:
+    case StoreOp::kWatch: {
+      auto answer = Answer(call, StoreStatus::kDone);
+      answer.items = Range(call.key);
+      return answer;
+    }
+    case StoreOp::kCompareAndSwap:
+      return CompareAndSwap(call);
+    case StoreOp::kLeaseGrant:
+      return Grant(call, now_ms);
+    case StoreOp::kLeaseRenew:
+      return Renew(call, now_ms);
+    case StoreOp::kLeaseRevoke:
+      DropLease(call.lease);
+      return Answer(call, StoreStatus::kDone);
+  }
+  return Answer(call, StoreStatus::kAbsent);
+}
+
+auto KeyValueStore::Get(const StoreCall& call) const -> StoreAnswer {
+  const auto it = values_.find(call.key);
+  if (it == values_.end()) {
+    return Answer(call, StoreStatus::kAbsent);
+  }
+  auto answer = Answer(call, StoreStatus::kDone);
+  answer.items.push_back({call.key, it->second.text, it->second.version});
+  return answer;
+}
+
+auto KeyValueStore::CompareAndSwap(const StoreCall& call) -> StoreAnswer {
+  const auto it = values_.find(call.key);
+  const auto version = it == values_.end() ? 0 : it->second.version;
+  if (version != call.expected_version) {
+    auto answer = Answer(call, StoreStatus::kConflict);
+    answer.items.push_back(
+        {call.key, it == values_.end() ? "" : it->second.text, version});
+    return answer;
+  }
+  if (call.lease != 0 && !leases_.contains(call.lease)) {
+    return Answer(call, StoreStatus::kExpired);
+  }
+  Write(call.key, call.value, call.lease);
+  auto answer = Answer(call, StoreStatus::kDone);
+  answer.items.push_back({call.key, call.value, revision_});
+  return answer;
+}
+
+auto KeyValueStore::Grant(const StoreCall& call, std::int64_t now_ms)
+    -> StoreAnswer {
+  const auto lease = ++last_lease_;
+  leases_[lease] = {call.ttl_ms, now_ms + call.ttl_ms};
+  auto answer = Answer(call, StoreStatus::kDone);
+  answer.lease = lease;
+  return answer;
+}
+
+auto KeyValueStore::Renew(const StoreCall& call, std::int64_t now_ms)
+    -> StoreAnswer {
+  const auto it = leases_.find(call.lease);
+  if (it == leases_.end()) {
+    return Answer(call, StoreStatus::kExpired);
+  }
+  it->second.expires_ms = now_ms + it->second.ttl_ms;
+  auto answer = Answer(call, StoreStatus::kDone);
+  answer.lease = call.lease;
+  return answer;
+}
+
+void KeyValueStore::Expire(std::int64_t now_ms) {
+  std::vector<std::int64_t> due;
+  for (const auto& [id, lease] : leases_) {
+    if (lease.expires_ms <= now_ms) {
+      due.push_back(id);
+    }
+  }
+  for (const auto it : due) {
+    DropLease(it);
+  }
+}
+
+void KeyValueStore::ExpireAll() {
+  while (!leases_.empty()) {
+    DropLease(leases_.begin()->first);
+  }
+}
+
+void KeyValueStore::Put(const std::string& key, const std::string& value) {
+  Write(key, value, 0);
+}
+
+auto KeyValueStore::TakeEvents() -> std::vector<StoreEvent> {
+  return std::exchange(events_, {});
+}
+
+auto KeyValueStore::Range(const std::string& prefix) const
+    -> std::vector<StoreItem> {
+  std::vector<StoreItem> items;
+  for (auto it = values_.lower_bound(prefix);
+       it != values_.end() && it->first.starts_with(prefix); ++it) {
+    items.push_back({it->first, it->second.text, it->second.version});
+  }
+  return items;
+}
+
+void KeyValueStore::Write(const std::string& key,
+                          const std::string& text,
+                          std::int64_t lease) {
+  values_[key] = {text, ++revision_, lease};
+  events_.push_back({{key, text, revision_}, false});
+}
+
+void KeyValueStore::DropLease(std::int64_t lease) {
+  if (leases_.erase(lease) == 0) {
+    return;
+  }
+  for (auto it = values_.begin(); it != values_.end();) {
+    if (it->second.lease != lease) {
+      ++it;
+      continue;
+    }
+    events_.push_back({{it->first, "", ++revision_}, true});
+    it = values_.erase(it);
+  }
+}
+
+}  // namespace kingcuplock
