--- a/kingcuplock/admission/request_queue.h
+++ b/kingcuplock/admission/request_queue.h
@@ -62,6 +62,12 @@
     return false;
   }
 
+  /// Removes all items.
+  void Clear() {
+    lanes_.clear();
+    size_ = 0;
+  }
+
   /// Returns the number of items.
   auto Size() const -> std::size_t { return size_; }
 
--- a/kingcuplock/owner/database_owner.h
+++ b/kingcuplock/owner/database_owner.h
@@ -1,7 +1,7 @@
 #pragma once
 
-/// Serves one database that this instance owns: raises the fence, carries
-/// requests to its members, acknowledges writes and changes the primary.
+/// Serves one database that this instance owns: admits requests, gives each
+/// one answer by its deadline, and joins leadership, writes and reads.
 ///
 /// Example:
 ///   DatabaseOwner owner(config, record, timing, timers, outbox, ports);
@@ -10,24 +10,15 @@
 
 #include <cstdint>
 #include <functional>
-#include <list>
-#include <map>
-#include <memory>
-#include <optional>
 #include <string>
 #include <unordered_set>
-#include <vector>
 
 #include "kingcuplock/actions/outbox.h"
-#include "kingcuplock/admission/request_queue.h"
-#include "kingcuplock/base/life_guard.h"
 #include "kingcuplock/base/timer_service.h"
-#include "kingcuplock/endpoint/connection_pool.h"
-#include "kingcuplock/failover/member_watch.h"
-#include "kingcuplock/failover/promotion.h"
-#include "kingcuplock/outcome/acknowledgement.h"
+#include "kingcuplock/owner/group_leader.h"
 #include "kingcuplock/owner/owner_request.h"
-#include "kingcuplock/routing/age_tracker.h"
+#include "kingcuplock/owner/replica_reader.h"
+#include "kingcuplock/owner/request_runner.h"
 #include "kingcuplock/schema/manifest.h"
 #include "kingcuplock/schema/messages.h"
 #include "kingcuplock/schema/settings.h"
@@ -48,18 +39,6 @@
   std::function<void(const FailoverGap&)> failed_over;
 };
 
-/// Phase of an owner.
-enum class OwnerPhase {
-  kDiscovering,
-  kFencing,
-  kServing,
-  kPromoting,
-  kStopped
-};
-
-/// Returns the name of a phase, for status and logs.
-auto ToString(OwnerPhase phase) -> std::string_view;
-
 /// Not thread safe.
 class DatabaseOwner {
  public:
@@ -77,7 +56,7 @@
   void Start();
 
   /// Serves a request; its reply comes by the deadline at the latest.
-  void Submit(RequestPtr request);
+  void Submit(const RequestPtr& request);
 
   /// Stops serving. Requests that did not run are answered not_owner, others
   /// are in doubt.
@@ -87,16 +66,16 @@
   void Drain(std::function<void()> done);
 
   /// Returns the phase.
-  auto phase() const -> OwnerPhase { return phase_; }
+  auto phase() const -> OwnerPhase { return leader_.phase(); }
 
   /// Returns the term that is served.
-  auto term() const -> std::int64_t { return term_; }
+  auto term() const -> std::int64_t { return leader_.term(); }
 
   /// Returns the primary, empty while there is none.
-  auto primary() const -> const std::string& { return primary_; }
+  auto primary() const -> const std::string& { return leader_.primary(); }
 
   /// Returns the number of requests that wait.
-  auto Queued() const -> std::size_t { return queue_.Size(); }
+  auto Queued() const -> std::size_t { return runner_.Queued(); }
 
   /// Handle an event; return false if the connection is not this owner's.
   auto OnOpened(ConnectionId connection) -> bool;
@@ -104,104 +83,22 @@
   auto OnAnswer(ConnectionId connection, const MemberAnswer& answer) -> bool;
 
  private:
-  /// A request that was carried out and waits for its acknowledgement.
-  struct Unconfirmed {
-    RequestPtr request;
-    CallerAnswer answer;
-    std::int64_t position = 0;
-    Time committed_at{};
-    bool is_write = false;
-  };
-  struct Member {
-    std::unique_ptr<MemberWatch> watch;
-    std::unique_ptr<ConnectionPool> pool;
-    LogPlace place;
-    std::int64_t follows = 0;
-    Time last_follow_order{};
-  };
-
-  // Members.
-  void AddMember(const MemberConfig& member);
-  void CallMember(const std::string& member,
-                  const MemberRequest& request,
-                  Duration timeout,
-                  MemberCallback callback);
-  void OnSample(const std::string& name,
-                Time asked,
-                const MemberAnswer& answer);
-  void OnSuspected(const std::string& name);
-  void Demote(const std::string& name, Member& member);
-  auto PrimaryPool() -> ConnectionPool*;
-
-  // Fence and promotion.
-  void Discover();
-  void OnDiscovered(std::map<std::string, MemberAnswer> heard);
-  void SetPrimary(std::int64_t term, const std::string& primary);
-  void Fence();
-  void OnFenceRaised(std::int64_t term, const MemberAnswer* answer);
-  void TryOpen();
-  void BeginPromotion();
-  void OnPromoted(std::int64_t term, const std::string& primary);
-  void CommitRecord(std::int64_t term, const std::string& primary);
-  void OnFencedOut();
-  void ReportGap();
-
-  // Requests.
-  void Pump();
-  void Enqueue(const RequestPtr& request);
-  void PumpReplicas();
-  auto TryReplica(const RequestPtr& request) -> bool;
-  void RunOnReplica(const std::string& name, const RequestPtr& request);
-  auto ReplicaServes(const Member& member, const OwnerRequest& request) const
-      -> bool;
-  void OnReplicaRead(const RequestPtr& request,
-                     const std::string& name,
-                     const MemberAnswer* answer);
-  void RunOnPrimary(const RequestPtr& request);
-  void OnPrimaryAnswer(const RequestPtr& request,
-                       std::int64_t term,
-                       Time sent,
-                       const MemberAnswer* answer);
-  void Confirm(const RequestPtr& request, const MemberAnswer& answer);
-  void AcknowledgeReady();
-  void Answer(const RequestPtr& request, CallerAnswer answer);
+  auto MakeLeaderPorts(OwnerPorts ports) -> LeaderPorts;
+  void AddPool(const MemberConfig& member, Outbox& outbox);
+  void OnFree(const std::string& member);
+  void Finish(const RequestPtr& request, CallerAnswer answer);
   void Expire(const RequestPtr& request);
-  void GiveBack(const RequestPtr& request);
-  auto BuildAnswer(const OwnerRequest& request,
-                   const MemberAnswer& answer,
-                   const std::string& member,
-                   bool from_replica) const -> CallerAnswer;
   void CheckDrained();
 
   DatabaseConfig config_;
-  OwnerRecord record_;
-  TimingSettings timing_;
   TimerService& timers_;
-  Outbox& outbox_;
-  OwnerPorts ports_;
-
-  OwnerPhase phase_ = OwnerPhase::kDiscovering;
-  std::int64_t term_ = 0;
-  std::string primary_;
-  std::map<std::string, Member> members_;
-  std::optional<Acknowledgement<>> acks_;
-  std::optional<LogPlace> acknowledged_;
-  std::optional<LogPlace> fence_;
-  AgeTracker ages_;
-  std::unique_ptr<Promotion> promotion_;
-  std::unique_ptr<Promotion> retired_promotion_;
-  std::optional<FailoverGap> gap_;
-  Time gap_began_{};
-  Time primary_since_{};
-
-  RequestQueue<RequestPtr> queue_;
-  RequestQueue<RequestPtr> replica_queue_;
-  std::list<Unconfirmed> unconfirmed_;
+  MemberPools pools_;
+  GroupLeader leader_;
+  RequestRunner runner_;
+  ReplicaReader reader_;
+  std::unordered_set<RequestPtr> open_;
   bool draining_ = false;
   std::function<void()> on_drained_;
-  std::unordered_set<RequestPtr> open_;
-  TimerId fence_timer_ = 0;
-  LifeGuard guard_;
 };
 
 }  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/owner/group_leader.cc
@@ -0,0 +1,379 @@
+#include "kingcuplock/owner/group_leader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcuplock {
+namespace {
+
+/// Longest wait in ms for the answer to a fence or a demotion.
+constexpr Milliseconds kControlTimeout{300};
+/// Pause in ms before a fence is tried again.
+constexpr Milliseconds kFencePause{50};
+/// Shortest time in ms between two orders to follow, per member.
+constexpr Milliseconds kFollowInterval{100};
+
+auto MemberNames(const DatabaseConfig& config) -> std::vector<std::string> {
+  std::vector<std::string> names;
+  for (const auto& it : config.members) {
+    names.push_back(it.name);
+  }
+  return names;
+}
+
+auto Microseconds(Time from, Time to) -> std::int64_t {
+  return std::max<std::int64_t>((to - from).count(), 0);
+}
+
+}  // namespace
+
+auto ToString(OwnerPhase phase) -> std::string_view {
+  switch (phase) {
+    case OwnerPhase::kDiscovering:
+      return "discovering";
+    case OwnerPhase::kFencing:
+      return "fencing";
+    case OwnerPhase::kServing:
+      return "serving";
+    case OwnerPhase::kPromoting:
+      return "promoting";
+    case OwnerPhase::kStopped:
+      return "stopped";
+  }
+  return "";
+}
+
+GroupLeader::GroupLeader(DatabaseConfig config,
+                         OwnerRecord record,
+                         TimingSettings timing,
+                         TimerService& timers,
+                         Outbox& outbox,
+                         LeaderPorts ports)
+    : config_(std::move(config)),
+      record_(std::move(record)),
+      timing_(timing),
+      timers_(timers),
+      outbox_(outbox),
+      ports_(std::move(ports)) {
+  for (const auto& it : config_.members) {
+    AddMember(it);
+  }
+}
+
+GroupLeader::~GroupLeader() = default;
+
+void GroupLeader::Start() {
+  for (auto& [name, member] : members_) {
+    member.watch->Start();
+  }
+  term_ = record_.term;
+  if (record_.term == 0) {
+    Discover();
+  } else if (record_.phase == Phase::kPromoting) {
+    BeginPromotion();
+  } else {
+    SetPrimary(record_.term, record_.primary);
+    Fence();
+  }
+}
+
+void GroupLeader::NoteHeard() {
+  members_.at(primary_).watch->NoteHeard();
+}
+
+void GroupLeader::NoteAcknowledged(std::int64_t position) {
+  acknowledged_ = std::max(*acknowledged_, LogPlace{term_, position});
+}
+
+auto GroupLeader::Allows(std::int64_t position, Time committed_at) const
+    -> bool {
+  return acks_->Allows(position, committed_at, ports_.lease_is_valid());
+}
+
+auto GroupLeader::PlaceOf(const std::string& member) const -> LogPlace {
+  const auto it = members_.find(member);
+  return it == members_.end() ? LogPlace{} : it->second.place;
+}
+
+// ---------------------------------------------------------------- members
+
+void GroupLeader::AddMember(const MemberConfig& config) {
+  auto& member = members_[config.name];
+  member.watch = std::make_unique<MemberWatch>(
+      config, timing_, timers_, outbox_,
+      MemberWatchCallbacks{
+          [this](const std::string& name, Time asked,
+                 const MemberAnswer& answer) { OnSample(name, asked, answer); },
+          [this](const std::string& name) { OnSuspected(name); }});
+}
+
+void GroupLeader::CallMember(const std::string& member,
+                             const MemberRequest& request,
+                             Duration timeout,
+                             MemberCallback callback) {
+  members_.at(member).watch->link().Call(request, timeout, std::move(callback));
+}
+
+void GroupLeader::OnSample(const std::string& name,
+                           Time asked,
+                           const MemberAnswer& answer) {
+  auto& member = members_.at(name);
+  member.place = {answer.entry_term, answer.position};
+  member.follows = answer.term;
+  const auto primary_known =
+      phase_ == OwnerPhase::kFencing || phase_ == OwnerPhase::kServing;
+  if (!primary_known) {
+    return;
+  }
+  acks_->Note(name, {asked, answer.term, member.place});
+  if (name == primary_) {
+    const auto leads =
+        answer.term == term_ && answer.role == MemberRole::kPrimary;
+    if (!leads && asked >= primary_since_) {
+      BeginPromotion();
+      return;
+    }
+    if (leads) {
+      ages_.AddSample(asked, member.place);
+    }
+  } else if (answer.term < term_ || answer.role == MemberRole::kPrimary) {
+    Demote(name, member);
+  }
+  TryOpen();
+  ports_.sampled();
+}
+
+void GroupLeader::Demote(const std::string& name, Member& member) {
+  const auto now = timers_.Now();
+  const auto ordered_lately = member.last_follow_order &&
+                              now - *member.last_follow_order < kFollowInterval;
+  if (ordered_lately) {
+    return;
+  }
+  member.last_follow_order = now;
+  MemberRequest request;
+  request.op = MemberOp::kFollow;
+  request.term = term_;
+  request.primary = primary_;
+  outbox_.Log(Event::kMemberDemoted, {{"database", config_.name},
+                                      {"member", name},
+                                      {"term", std::to_string(term_)}});
+  CallMember(name, request, kControlTimeout, [](const MemberAnswer*) {});
+}
+
+void GroupLeader::OnSuspected(const std::string& name) {
+  const auto concerned = name == primary_ && (phase_ == OwnerPhase::kFencing ||
+                                              phase_ == OwnerPhase::kServing);
+  if (!concerned) {
+    return;
+  }
+  if (!ports_.lease_is_valid()) {
+    // A promotion needs the store.
+    return;
+  }
+  gap_.emplace();
+  const auto began = members_.at(name).watch->SilentSince();
+  gap_->database = config_.name;
+  gap_->suspect_us = Microseconds(began, timers_.Now());
+  outbox_.Log(Event::kPrimarySuspected,
+              {{"database", config_.name}, {"member", name}});
+  BeginPromotion();
+}
+
+// ---------------------------------------------------- fence and promotion
+
+void GroupLeader::Discover() {
+  phase_ = OwnerPhase::kDiscovering;
+  auto heard = std::make_shared<std::map<std::string, MemberAnswer>>();
+  for (const auto& [name, member] : members_) {
+    MemberRequest request;
+    request.op = MemberOp::kStatus;
+    CallMember(name, request, kControlTimeout,
+               [heard, name = name](const MemberAnswer* answer) {
+                 if (answer != nullptr) {
+                   (*heard)[name] = *answer;
+                 }
+               });
+  }
+  timers_.After(kControlTimeout,
+                guard_.Bind([this, heard] { OnDiscovered(*heard); }));
+}
+
+void GroupLeader::OnDiscovered(
+    const std::map<std::string, MemberAnswer>& heard) {
+  std::string best;
+  for (const auto& [name, answer] : heard) {
+    const auto leads = answer.role == MemberRole::kPrimary;
+    if (leads && (best.empty() || answer.term > heard.at(best).term)) {
+      best = name;
+    }
+  }
+  if (heard.size() + 1 < members_.size() || heard.empty()) {
+    Discover();
+    return;
+  }
+  if (best.empty()) {
+    for (const auto& [name, answer] : heard) {
+      term_ = std::max(term_, answer.term);
+    }
+    BeginPromotion();
+    return;
+  }
+  SetPrimary(heard.at(best).term, best);
+  CommitRecord();
+  Fence();
+}
+
+void GroupLeader::SetPrimary(std::int64_t term, const std::string& primary) {
+  term_ = term;
+  primary_ = primary;
+  primary_since_ = timers_.Now();
+  fence_.reset();
+  acks_.emplace(MemberNames(config_), primary, term, config_.acknowledgement);
+  for (auto& [name, member] : members_) {
+    member.watch->SetPrimary(name == primary);
+  }
+  phase_ = OwnerPhase::kFencing;
+}
+
+void GroupLeader::Fence() {
+  MemberRequest request;
+  request.op = MemberOp::kRaiseEpoch;
+  request.epoch = record_.epoch;
+  request.term = term_;
+  CallMember(primary_, request, kControlTimeout,
+             [this, term = term_](const MemberAnswer* answer) {
+               OnFenceRaised(term, answer);
+             });
+}
+
+void GroupLeader::OnFenceRaised(std::int64_t term, const MemberAnswer* answer) {
+  if (term != term_ || phase_ != OwnerPhase::kFencing) {
+    return;
+  }
+  if (answer == nullptr) {
+    timers_.After(kFencePause, guard_.Bind([this, term] {
+      if (term == term_ && phase_ == OwnerPhase::kFencing) {
+        Fence();
+      }
+    }));
+    return;
+  }
+  if (answer->status == MemberStatus::kFenced) {
+    ports_.fenced_out();
+    return;
+  }
+  if (answer->status != MemberStatus::kDone) {
+    BeginPromotion();
+    return;
+  }
+  fence_ = LogPlace{answer->entry_term, answer->position};
+  outbox_.Log(Event::kFenceRaised,
+              {{"database", config_.name},
+               {"epoch", std::to_string(record_.epoch)},
+               {"position", std::to_string(answer->position)}});
+  for (auto& [name, member] : members_) {
+    if (name != primary_ && member.follows != 0 && member.follows < term_) {
+      Demote(name, member);
+    }
+  }
+  TryOpen();
+}
+
+void GroupLeader::TryOpen() {
+  if (phase_ != OwnerPhase::kFencing || !fence_) {
+    return;
+  }
+  if (!acks_->Allows(fence_->position, timers_.Now(),
+                     ports_.lease_is_valid())) {
+    return;
+  }
+  phase_ = OwnerPhase::kServing;
+  acknowledged_ = fence_;
+  outbox_.Log(Event::kWritesOpen, {{"database", config_.name},
+                                   {"term", std::to_string(term_)},
+                                   {"primary", primary_}});
+  ReportGap();
+  ports_.opened();
+}
+
+void GroupLeader::ReportGap() {
+  if (!gap_ || !promotion_) {
+    gap_.reset();
+    return;
+  }
+  const auto& times = promotion_->times();
+  gap_->term = term_;
+  gap_->record_us = Microseconds(times.began, times.recorded);
+  gap_->hear_us = Microseconds(times.recorded, times.heard);
+  gap_->promote_us = Microseconds(times.heard, times.promoted);
+  gap_->open_us = Microseconds(times.promoted, timers_.Now());
+  ports_.failed_over(*gap_);
+  gap_.reset();
+}
+
+void GroupLeader::BeginPromotion() {
+  phase_ = OwnerPhase::kPromoting;
+  fence_.reset();
+  ports_.closed(std::exchange(primary_, {}));
+  retired_promotion_ = std::move(promotion_);
+  promotion_ =
+      std::make_unique<Promotion>(PromotionStart{config_, term_, acknowledged_},
+                                  timers_, outbox_, MakePromotionPorts());
+  promotion_->Begin();
+}
+
+auto GroupLeader::MakePromotionPorts() -> PromotionPorts {
+  PromotionPorts ports;
+  ports.call = [this](const std::string& member, const MemberRequest& request,
+                      Duration timeout, MemberCallback callback) {
+    CallMember(member, request, timeout, std::move(callback));
+  };
+  ports.record = [this](std::int64_t term, std::function<void(bool)> written) {
+    ports_.write_record(term, "", Phase::kPromoting, std::move(written));
+  };
+  ports.done = [this](std::int64_t term, const std::string& primary) {
+    OnPromoted(term, primary);
+  };
+  ports.failed = [this] { ports_.fenced_out(); };
+  return ports;
+}
+
+void GroupLeader::OnPromoted(std::int64_t term, const std::string& primary) {
+  SetPrimary(term, primary);
+  for (auto& [name, member] : members_) {
+    if (name != primary) {
+      member.last_follow_order.reset();
+      Demote(name, member);
+    }
+  }
+  Fence();
+  CommitRecord();
+}
+
+void GroupLeader::CommitRecord() {
+  ports_.write_record(term_, primary_, Phase::kServing, [](bool) {});
+}
+
+// ----------------------------------------------------------------- events
+
+auto GroupLeader::OnOpened(ConnectionId connection) -> bool {
+  return std::any_of(members_.begin(), members_.end(), [&](auto& it) {
+    return it.second.watch->OnOpened(connection);
+  });
+}
+
+auto GroupLeader::OnClosed(ConnectionId connection) -> bool {
+  return std::any_of(members_.begin(), members_.end(), [&](auto& it) {
+    return it.second.watch->OnClosed(connection);
+  });
+}
+
+auto GroupLeader::OnAnswer(ConnectionId connection, const MemberAnswer& answer)
+    -> bool {
+  return std::any_of(members_.begin(), members_.end(), [&](auto& it) {
+    return it.second.watch->OnAnswer(connection, answer);
+  });
+}
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/owner/request_runner.cc
@@ -0,0 +1,215 @@
+#include "kingcuplock/owner/request_runner.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "kingcuplock/owner/answers.h"
+
+namespace kingcuplock {
+namespace {
+
+/// Longest time in ms that one statement may take at the primary.
+constexpr Milliseconds kStatementTimeout{1000};
+
+}  // namespace
+
+auto BuildAnswer(const OwnerRequest& request,
+                 const MemberAnswer& answer,
+                 const std::string& member,
+                 bool from_replica) -> CallerAnswer {
+  CallerAnswer out;
+  out.id = request.request.id;
+  out.status = Status::kOk;
+  out.results = answer.results;
+  out.term = answer.term;
+  out.position = answer.position;
+  out.served_by = member;
+  out.from_replica = from_replica;
+  auto token = request.token;
+  token.Advance(request.request.database, {answer.entry_term, answer.position});
+  out.token = token.Format();
+  return out;
+}
+
+RequestRunner::RequestRunner(const DatabaseConfig& config,
+                             std::int64_t epoch,
+                             GroupLeader& leader,
+                             MemberPools& pools,
+                             TimerService& timers,
+                             FinishCallback finish,
+                             std::function<void()> fenced_out)
+    : config_(config),
+      epoch_(epoch),
+      leader_(leader),
+      pools_(pools),
+      timers_(timers),
+      finish_(std::move(finish)),
+      fenced_out_(std::move(fenced_out)) {}
+
+auto RequestRunner::PrimaryPool() -> ConnectionPool* {
+  const auto it = pools_.find(leader_.primary());
+  return it == pools_.end() ? nullptr : it->second.get();
+}
+
+void RequestRunner::Enqueue(const RequestPtr& request) {
+  queue_.Push(request->kind.priority, request);
+}
+
+void RequestRunner::Pump() {
+  auto* pool = PrimaryPool();
+  while (leader_.IsServing() && pool != nullptr && pool->HasFree()) {
+    const auto next = queue_.Pop();
+    if (!next) {
+      return;
+    }
+    Run(*next);
+  }
+}
+
+void RequestRunner::Run(const RequestPtr& request) {
+  MemberRequest call;
+  call.op = MemberOp::kRead;
+  call.statements = request->request.statements;
+  if (request->kind.access == Access::kWrite) {
+    call.op = MemberOp::kExecute;
+    call.epoch = epoch_;
+    call.term = leader_.term();
+    call.request_id = request->request.id;
+    call.issued_ms = request->request.issued_ms;
+  }
+  request->at_member = true;
+  const auto sent = timers_.Now();
+  const auto term = leader_.term();
+  PrimaryPool()->Run(std::move(call), kStatementTimeout,
+                     [this, request, term, sent](const MemberAnswer* answer) {
+                       request->at_member = false;
+                       OnAnswer(request, term, sent, answer);
+                     });
+}
+
+void RequestRunner::OnAnswer(const RequestPtr& request,
+                             std::int64_t term,
+                             Time sent,
+                             const MemberAnswer* answer) {
+  if (answer == nullptr) {
+    GiveBack(request);
+    return;
+  }
+  queue_.NoteService(timers_.Now() - sent);
+  const auto current = term == leader_.term() && leader_.IsServing();
+  const auto done = answer->status == MemberStatus::kDone;
+  if (!current || answer->term != term) {
+    // Said by a primary that has been replaced.
+    done ? GiveBack(request) : Enqueue(request);
+    return;
+  }
+  leader_.NoteHeard();
+  if (!done) {
+    OnRefusedByMember(request, *answer);
+    return;
+  }
+  leader_.ages().AddSample(sent, {answer->entry_term, answer->position});
+  Confirm(request, *answer);
+}
+
+void RequestRunner::OnRefusedByMember(const RequestPtr& request,
+                                      const MemberAnswer& answer) {
+  const auto& id = request->request.id;
+  switch (answer.status) {
+    case MemberStatus::kRejected: {
+      auto failure = Failure(id, ErrorKind::kRejectedByDatabase);
+      failure.message += " (" + answer.message + ")";
+      finish_(request, std::move(failure));
+      return;
+    }
+    case MemberStatus::kExpired:
+      finish_(request, InDoubt(id, ErrorKind::kRequestIdTooOld));
+      return;
+    case MemberStatus::kFenced:
+      Enqueue(request);
+      fenced_out_();
+      return;
+    default:
+      // Not the primary of this term: it did not run.
+      Enqueue(request);
+      leader_.BeginPromotion();
+      return;
+  }
+}
+
+void RequestRunner::GiveBack(const RequestPtr& request) {
+  request->in_doubt = true;
+  if (request->answered) {
+    return;
+  }
+  if (leader_.phase() == OwnerPhase::kStopped) {
+    finish_(request, InDoubt(request->request.id, ErrorKind::kFenced));
+    return;
+  }
+  // Sent again with the same id: the marker makes it run at most once.
+  queue_.PushFront(request->kind.priority, request);
+}
+
+void RequestRunner::Confirm(const RequestPtr& request,
+                            const MemberAnswer& answer) {
+  const auto is_write = request->kind.access == Access::kWrite;
+  const LogPlace place{answer.entry_term, answer.position};
+  if (!is_write && place < request->token.PlaceIn(config_.name)) {
+    finish_(request, Failure(request->request.id, ErrorKind::kPositionLost));
+    return;
+  }
+  request->in_doubt = true;
+  unconfirmed_.push_back(
+      {request, BuildAnswer(*request, answer, leader_.primary(), false),
+       answer.position, timers_.Now(), is_write});
+  AcknowledgeReady();
+}
+
+void RequestRunner::AcknowledgeReady() {
+  if (!leader_.IsServing()) {
+    return;
+  }
+  std::vector<Unconfirmed> ready;
+  for (auto it = unconfirmed_.begin(); it != unconfirmed_.end();) {
+    const auto read_is_safe = !it->is_write && leader_.LeaseIsValid();
+    if (read_is_safe || leader_.Allows(it->position, it->committed_at)) {
+      ready.push_back(std::move(*it));
+      it = unconfirmed_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  for (auto& it : ready) {
+    if (it.is_write) {
+      leader_.NoteAcknowledged(it.position);
+    }
+    finish_(it.request, std::move(it.answer));
+  }
+}
+
+void RequestRunner::GiveUpPrimary(const std::string& primary) {
+  const auto pool = pools_.find(primary);
+  if (pool != pools_.end()) {
+    pool->second->CloseAll();
+  }
+  for (const auto& it : std::exchange(unconfirmed_, {})) {
+    GiveBack(it.request);
+  }
+}
+
+void RequestRunner::Forget(const RequestPtr& request) {
+  queue_.Remove(request);
+  unconfirmed_.remove_if([&](const auto& it) { return it.request == request; });
+}
+
+void RequestRunner::Clear() {
+  unconfirmed_.clear();
+  queue_.Clear();
+}
+
+auto RequestRunner::ExpectedWait(std::int64_t priority) const -> Duration {
+  return queue_.ExpectedWait(priority, config_.slots);
+}
+
+}  // namespace kingcuplock
