--- a/testing/node_fixture.cc
+++ b/testing/node_fixture.cc
@@ -524,27 +524,29 @@
   if (const auto* status = std::get_if<InstanceStatus>(&message)) {
     statuses_[node] = *status;
   } else if (const auto* answer = std::get_if<CallerAnswer>(&message)) {
-    const auto& [request, asked] = asked_.at(answer->id);
-    answers_.push_back({request, *answer, asked, now_});
+    const auto& [request, asked] = asked_.at(id);
+    answers_.push_back({id, request, *answer, asked, now_});
   }
 }
 
-void NodeFixture::Send(std::size_t node, const CallerRequest& request) {
+auto NodeFixture::Send(std::size_t node, const CallerRequest& request)
+    -> std::uint64_t {
   const auto id = ++last_inbound_ | kInboundBit;
   inbound_[{node, id}] = {true, 0, 0};
-  asked_[request.id] = {request, now_};
+  asked_[id] = {request, now_};
   At(Delay(), [this, node, id, request] {
     Deliver(node, MessageArrived{id, InboundMessage(request)});
   });
+  return id;
 }
 
 auto NodeFixture::Ask(std::size_t node, const CallerRequest& request)
     -> CallerAnswer {
   const auto before = answers_.size();
-  Send(node, request);
+  const auto number = Send(node, request);
   const auto find = [&]() -> const FixtureAnswer* {
     for (auto n = before; n < answers_.size(); ++n) {
-      if (answers_[n].answer.id == request.id) {
+      if (answers_[n].number == number) {
         return &answers_[n];
       }
     }
--- a/testing/node_fixture.h
+++ b/testing/node_fixture.h
@@ -51,6 +51,8 @@
 
 /// An answer that a caller got, and when.
 struct FixtureAnswer {
+  /// Number that Send() returned for the request.
+  std::uint64_t number = 0;
   CallerRequest request;
   CallerAnswer answer;
   Time asked{};
@@ -75,8 +77,9 @@
   /// Runs until `done` holds, `longest` at most. Returns whether it held.
   auto RunUntil(const std::function<bool()>& done, Duration longest) -> bool;
 
-  /// Sends a request to an instance; the answer appears in answers().
-  void Send(std::size_t node, const CallerRequest& request);
+  /// Sends a request to an instance; the answer appears in answers() under
+  /// the number returned here.
+  auto Send(std::size_t node, const CallerRequest& request) -> std::uint64_t;
 
   /// Sends a request and runs until its answer. Throws std::runtime_error if
   /// none comes within the patience and a second.
@@ -122,6 +125,9 @@
   void StopNode(std::size_t node);
   void CutPeers(std::size_t a, std::size_t b, bool cut);
 
+  /// Returns whether the instance runs, paused or not.
+  auto IsAlive(std::size_t node) const -> bool { return nodes_[node].alive; }
+
   /// Returns whether a planned stop of the instance is complete.
   auto Stopped(std::size_t node) const -> bool;
 
@@ -246,7 +252,7 @@
   };
   std::map<std::pair<std::size_t, ConnectionId>, Inbound> inbound_;
   ConnectionId last_inbound_ = 0;
-  std::map<std::string, std::pair<CallerRequest, Time>> asked_;
+  std::map<ConnectionId, std::pair<CallerRequest, Time>> asked_;
   std::vector<FixtureAnswer> answers_;
   std::map<std::size_t, InstanceStatus> statuses_;
   std::int64_t most_connections_ = 0;
