--- /dev/null
+++ b/kingcuplock/owner/answers_test.cc
@@ -0,0 +1,37 @@
+#include "kingcuplock/owner/answers.h"
+
+#include <fstream>
+#include <sstream>
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+namespace kingcuplock {
+namespace {
+
+constexpr auto kLastError = static_cast<int>(ErrorKind::kUnauthorized);
+
+auto ReadErrorsPage() -> std::string {
+  std::ifstream in(std::string(KINGCUPLOCK_SOURCE_DIR) + "/docs/ERRORS.md");
+  std::ostringstream out;
+  out << in.rdbuf();
+  return out.str();
+}
+
+TEST_CASE("Every error has a remedy, and docs/ERRORS.md gives it") {
+  const auto page = ReadErrorsPage();
+  for (auto n = 1; n <= kLastError; ++n) {
+    const auto error = static_cast<ErrorKind>(n);
+    CHECK_MESSAGE(!RemedyOf(error).empty(), ToString(error));
+    const auto row =
+        fmt::format("| `{}` | {} |", ToString(error), RemedyOf(error));
+    CHECK_MESSAGE(page.find(row) != std::string::npos, row);
+  }
+}
+
+TEST_CASE("An answer in doubt carries the id to ask again with") {
+  CHECK(InDoubt("id-1", ErrorKind::kConnectionLost).receipt == "id-1");
+}
+
+}  // namespace
+}  // namespace kingcuplock
