Metrics: service-level windows, bounded latency quantiles, newest failovers

Moves the request counters into kingcuplock/metrics. Each request kind counts good and bad answers against its target over 5 min, 1 h, 6 h and 3 d in rings of 12 buckets; quantiles cover the last whole 5 min. Faults mended: counters were kept per name that a caller invented, so memory grew without bound (test 'Names that callers invent take no memory'); the status kept the oldest 1,000 failovers and dropped all newer ones.

--- a/kingcuplock/node/node.cc
+++ b/kingcuplock/node/node.cc
@@ -15,8 +15,6 @@
 constexpr std::string_view kPlatformPrefix = "platform/";
 /// Key of the platform's list of instances and endpoints.
 constexpr std::string_view kInstancesKey = "platform/instances";
-/// Failovers kept for status queries.
-constexpr std::size_t kMaxFailovers = 1000;
 /// Interval in ms at which a planned stop looks whether it is complete.
 constexpr Milliseconds kStopPoll{20};
 /// Quiet time in ms after which a stopping instance ends.
@@ -76,12 +74,13 @@
               [this](const CallerRequest& request,
                      const CallerAnswer& answer,
                      Duration latency) {
-                counters_.Note(request, answer, latency);
+                counters_.Note(timers_.Now(), request, answer, latency);
               }}) {}
 
 Node::~Node() = default;
 
 void Node::Start() {
+  started_ = timers_.Now();
   store_.Watch(names_.key_prefix + "manifest",
                [this](const StoreItem& item, bool deleted) {
                  OnManifestItem(item, deleted);
@@ -222,6 +221,7 @@
 // ------------------------------------------- configuration and membership
 
 void Node::OnManifestChanged() {
+  counters_.SetManifest(manifests_.manifest());
   std::vector<std::string> names;
   for (const auto& it : manifests_.manifest().databases) {
     names.push_back(it.name);
@@ -288,9 +288,7 @@
     ownership_.Write(database, term, primary, phase, std::move(written));
   };
   ports.failed_over = [this](const FailoverGap& gap) {
-    if (failovers_.size() < kMaxFailovers) {
-      failovers_.push_back(gap);
-    }
+    failovers_.Add(timers_.Now(), gap);
   };
   auto owner = std::make_unique<DatabaseOwner>(
       *config, record, settings_.timing, timers_, outbox_, std::move(ports));
@@ -402,8 +400,11 @@
     }
     out.databases.push_back(std::move(database));
   }
-  out.counters = counters_.Snapshot();
-  out.failovers = failovers_;
+  out.counters = counters_.Snapshot(timers_.Now());
+  out.failovers = failovers_.Snapshot(timers_.Now());
+  out.uptime_ms =
+      std::chrono::duration_cast<Milliseconds>(timers_.Now() - started_)
+          .count();
   return out;
 }
 
--- a/kingcuplock/node/node.h
+++ b/kingcuplock/node/node.h
@@ -23,7 +23,8 @@
 #include "kingcuplock/entry/entry.h"
 #include "kingcuplock/manifest/manifest_keeper.h"
 #include "kingcuplock/membership/peer_links.h"
-#include "kingcuplock/node/request_counters.h"
+#include "kingcuplock/metrics/failover_log.h"
+#include "kingcuplock/metrics/request_counters.h"
 #include "kingcuplock/owner/database_owner.h"
 #include "kingcuplock/ownership/ownership_keeper.h"
 #include "kingcuplock/schema/messages.h"
@@ -96,7 +97,8 @@
   std::map<std::string, std::unique_ptr<DatabaseOwner>> owners_;
   std::vector<std::unique_ptr<DatabaseOwner>> retired_owners_;
   std::map<std::string, OwnershipHint> hints_;
-  std::vector<FailoverGap> failovers_;
+  FailoverLog failovers_;
+  Time started_{};
   bool leaving_ = false;
   Time stop_began_{};
   Time last_busy_{};
--- a/kingcuplock/schema/messages.h
+++ b/kingcuplock/schema/messages.h
@@ -239,8 +239,30 @@
 /// wrong.
 void from_json(const nlohmann::json& in, DatabaseStatus& value);
 
+/// Requests counted against their service level over one window that ends now.
+struct ServiceWindow {
+  /// Length of the window in ms.
+  std::int64_t window_ms{};
+  /// Requests answered ok within the latency target.
+  std::int64_t good{};
+  /// All other requests.
+  std::int64_t bad{};
+  /// Requests served by a replica.
+  std::int64_t from_replica{};
+
+  auto operator==(const ServiceWindow&) const -> bool = default;
+};
+
+/// Writes `value` to `out`, leaving out members that have their default.
+void to_json(nlohmann::json& out, const ServiceWindow& value);
+
+/// Reads `value`. Throws SchemaError naming the member that is missing or
+/// wrong.
+void from_json(const nlohmann::json& in, ServiceWindow& value);
+
 /// Answers counted per database, request kind and status since the instance
-/// started.
+/// started. Requests of a kind that the manifest lacks are counted together
+/// under empty names.
 struct RequestCounter {
   /// Database name.
   std::string database{};
@@ -256,10 +278,13 @@
   std::int64_t unknown{};
   /// Answers served by a replica.
   std::int64_t from_replica{};
-  /// Median latency in microseconds.
+  /// Median latency in microseconds over the last whole 5 min, or since the
+  /// start.
   std::int64_t latency_p50_us{};
-  /// 99th percentile of the latency in microseconds.
+  /// 99th percentile of the latency in microseconds, over the same time.
   std::int64_t latency_p99_us{};
+  /// Counts against the service level over 5 min, 1 h, 6 h and 3 d.
+  std::vector<ServiceWindow> windows{};
 
   auto operator==(const RequestCounter&) const -> bool = default;
 };
@@ -287,6 +312,8 @@
   std::int64_t promote_us{};
   /// Time until writes were open again.
   std::int64_t open_us{};
+  /// Time in ms from the end of the failover to the status.
+  std::int64_t ended_ms_ago{};
 
   auto operator==(const FailoverGap&) const -> bool = default;
 };
@@ -314,8 +341,10 @@
   std::vector<DatabaseStatus> databases{};
   /// Answers counted at this entry.
   std::vector<RequestCounter> counters{};
-  /// Failovers that this instance carried out.
+  /// Newest failovers that this instance carried out.
   std::vector<FailoverGap> failovers{};
+  /// Time in ms since the instance started.
+  std::int64_t uptime_ms{};
 
   auto operator==(const InstanceStatus&) const -> bool = default;
 };
