Ownership: queue writes, retake fenced databases, overtake later terms

Cause: a write of the record was refused while an earlier one was unanswered, which the leader took for the loss of the database; a fence or a member's term past the record's stopped the owner for good; discovery could choose a primary of an older term. Writes now queue behind each other, a fenced owner takes the record again past the epoch seen, and later terms are overtaken by a promotion that the record decides. The regular look covers vacant databases only. A manifest that changes a database's group restarts its owner after a drain.

The lost takeover answer was already handled.

--- /dev/null
+++ b/benchmarks/failover_gap/main.cc
@@ -0,0 +1,183 @@
+/// Measures the distribution of the failover gap per deployment and fault.
+///
+/// Example:
+///   failover-gap --runs 200 --first-seed 1
+///   failover-gap --json
+
+#include <algorithm>
+#include <cstdint>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+
+#include "benchmarks/failover_gap/gap_run.h"
+
+namespace kingcuplock {
+namespace {
+
+/// What the command line asks for.
+struct Options {
+  std::uint64_t runs = 200;
+  std::uint64_t first_seed = 1;
+  bool json = false;
+  std::string deployment;
+  std::string fault;
+};
+
+/// All runs of one deployment and fault.
+struct Distribution {
+  std::vector<GapTimes> times;
+  std::uint64_t unfinished = 0;
+};
+
+/// Targets in ms: median and 99th percentile, 0 for none.
+struct Target {
+  double median_ms = 0;
+  double p99_ms = 0;
+};
+
+constexpr double kUsPerMs = 1000;
+
+auto TargetOf(Fault fault) -> Target {
+  constexpr Target kKilled{500, 1000};
+  constexpr Target kFrozen{0, 10'000};
+  constexpr Target kBoth{0, 4000};
+  constexpr Target kStore{0, 3000};
+  switch (fault) {
+    case Fault::kPrimaryKilled:
+      return kKilled;
+    case Fault::kPrimaryFrozen:
+      return kFrozen;
+    case Fault::kOwnerAndPrimaryKilled:
+      return kBoth;
+    case Fault::kStoreSlow:
+      return kStore;
+  }
+  return {};
+}
+
+auto Collect(const Deployment& deployment, Fault fault, const Options& options)
+    -> Distribution {
+  Distribution out;
+  for (std::uint64_t n = 0; n < options.runs; ++n) {
+    const auto times = RunFailover(deployment, fault, options.first_seed + n);
+    if (times) {
+      out.times.push_back(*times);
+    } else {
+      ++out.unfinished;
+    }
+  }
+  return out;
+}
+
+/// Returns the quantile in ms by the nearest rank, 0 for no runs.
+auto Quantile(const Distribution& runs, std::size_t column, double q)
+    -> double {
+  std::vector<std::int64_t> sorted;
+  for (const auto& it : runs.times) {
+    sorted.push_back(it.at(column));
+  }
+  if (sorted.empty()) {
+    return 0;
+  }
+  std::sort(sorted.begin(), sorted.end());
+  const auto last = static_cast<double>(sorted.size() - 1);
+  return static_cast<double>(sorted[static_cast<std::size_t>(q * last + 0.5)]) /
+         kUsPerMs;
+}
+
+auto Meets(const Distribution& runs, Fault fault) -> bool {
+  const auto target = TargetOf(fault);
+  const auto median_holds =
+      target.median_ms == 0 || Quantile(runs, 0, 0.5) <= target.median_ms;
+  return runs.unfinished == 0 && median_holds &&
+         Quantile(runs, 0, 0.99) <= target.p99_ms;
+}
+
+void PrintTable(const Deployment& deployment,
+                Fault fault,
+                const Distribution& runs) {
+  fmt::print("{} {}: {} runs, {} unfinished, target {}\n", deployment.name,
+             ToString(fault), runs.times.size(), runs.unfinished,
+             Meets(runs, fault) ? "met" : "missed");
+  fmt::print("  {:<10}{:>10}{:>10}{:>10}\n", "ms", "median", "p99", "max");
+  for (std::size_t n = 0; n < kColumns; ++n) {
+    fmt::print("  {:<10}{:>10.1f}{:>10.1f}{:>10.1f}\n", kColumnNames.at(n),
+               Quantile(runs, n, 0.5), Quantile(runs, n, 0.99),
+               Quantile(runs, n, 1));
+  }
+  std::fflush(stdout);
+}
+
+auto ToJson(const Deployment& deployment, Fault fault, const Distribution& runs)
+    -> nlohmann::json {
+  nlohmann::json out{{"deployment", deployment.name},
+                     {"fault", ToString(fault)},
+                     {"runs", runs.times.size()},
+                     {"unfinished", runs.unfinished},
+                     {"target_met", Meets(runs, fault)}};
+  for (std::size_t n = 0; n < kColumns; ++n) {
+    out["ms"][std::string(kColumnNames.at(n))] = {
+        {"median", Quantile(runs, n, 0.5)},
+        {"p99", Quantile(runs, n, 0.99)},
+        {"max", Quantile(runs, n, 1)}};
+  }
+  return out;
+}
+
+auto RunAll(const Options& options) -> bool {
+  auto met = true;
+  auto all = nlohmann::json::array();
+  for (const auto& deployment : kDeployments) {
+    for (const auto fault : kFaults) {
+      const auto wanted =
+          (options.deployment.empty() ||
+           options.deployment == deployment.name) &&
+          (options.fault.empty() || options.fault == ToString(fault));
+      if (!wanted) {
+        continue;
+      }
+      const auto runs = Collect(deployment, fault, options);
+      met = met && Meets(runs, fault);
+      if (options.json) {
+        all.push_back(ToJson(deployment, fault, runs));
+      } else {
+        PrintTable(deployment, fault, runs);
+      }
+    }
+  }
+  if (options.json) {
+    fmt::print("{}\n", all.dump(2));
+  }
+  return met;
+}
+
+auto Main(int argc, char** argv) -> int {
+  Options options;
+  CLI::App app(
+      "Failover gap on virtual time. Exit codes: 0 targets met, 1 a target "
+      "missed, 2 bad arguments.");
+  app.add_option("--runs", options.runs, "runs per deployment and fault")
+      ->check(CLI::Range(1, 100'000));
+  app.add_option("--first-seed", options.first_seed, "seed of the first run");
+  app.add_option("--deployment", options.deployment, "only this one");
+  app.add_option("--fault", options.fault, "only this one");
+  app.add_flag("--json", options.json, "print JSON instead of tables");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& ex) {
+    return app.exit(ex) == 0 ? 0 : 2;
+  }
+  return RunAll(options) ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace kingcuplock
+
+auto main(int argc, char** argv) -> int {
+  return kingcuplock::Main(argc, argv);
+}
--- a/kingcuplock/failover/candidate.h
+++ b/kingcuplock/failover/candidate.h
@@ -3,14 +3,19 @@
 /// Chooses the member to promote from what members said of their logs.
 ///
 /// Example:
-///   auto choice = ChooseCandidate(heard, {.members = 3, .new_term = 4});
+///   Hearings<> hearings;
+///   hearings.BeginAttempt(4);
+///   hearings.Note(4, {"a", 3, place});
+///   auto choice = hearings.Choose({.members = 3, .new_term = 4});
 ///   if (choice.verdict == CandidateVerdict::kChosen) { Promote(choice); }
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
+#include <vector>
 
 #include "kingcuplock/outcome/safety_rules.h"
 #include "kingcuplock/session/log_place.h"
@@ -90,4 +95,57 @@
   return {};
 }
 
+/// What members said for the attempts of one promotion. Not thread safe.
+template <SafetyRules Rules = AllRules>
+class Hearings {
+ public:
+  /// Begins an attempt for `term`; nothing heard before counts for it.
+  void BeginAttempt(std::int64_t term) {
+    term_ = term;
+    if (Rules::kHearAgain) {
+      heard_.clear();
+    }
+  }
+
+  /// Notes what a member said when it was asked for the attempt of `term`.
+  /// Returns whether that is the present attempt.
+  auto Note(std::int64_t term, const Hearing& hearing) -> bool {
+    if (Rules::kHearAgain && term != term_) {
+      return false;
+    }
+    heard_[hearing.member] = hearing;
+    return true;
+  }
+
+  /// Returns the choice among the members heard. O(members).
+  auto Choose(const CandidateQuestion& question) const -> CandidateChoice {
+    const auto heard = All();
+    return ChooseCandidate<Rules>(heard, question);
+  }
+
+  /// Returns the highest term that a member heard follows, 0 for none.
+  auto HighestTerm() const -> std::int64_t {
+    std::int64_t highest = 0;
+    for (const auto& [member, hearing] : heard_) {
+      highest = std::max(highest, hearing.follows);
+    }
+    return highest;
+  }
+
+  /// Returns the number of members heard.
+  auto size() const -> std::size_t { return heard_.size(); }
+
+ private:
+  auto All() const -> std::vector<Hearing> {
+    std::vector<Hearing> heard;
+    for (const auto& [member, hearing] : heard_) {
+      heard.push_back(hearing);
+    }
+    return heard;
+  }
+
+  std::int64_t term_ = 0;
+  std::map<std::string, Hearing> heard_;
+};
+
 }  // namespace kingcuplock
--- a/kingcuplock/failover/promotion.cc
+++ b/kingcuplock/failover/promotion.cc
@@ -39,7 +39,7 @@
 void Promotion::NewAttempt(std::int64_t term) {
   step_ = Step::kRecording;
   term_ = term;
-  heard_.clear();
+  hearings_.BeginAttempt(term);
   grace_over_ = false;
   orders_ = 0;
   outbox_.Log(Event::kPromotionBegan, {{"database", start_.database.name},
@@ -89,9 +89,10 @@
     }));
     return;
   }
-  heard_[member] = {
-      member, answer->term, {answer->entry_term, answer->position}};
-  Consider();
+  const LogPlace last_entry{answer->entry_term, answer->position};
+  if (hearings_.Note(term, {member, answer->term, last_entry})) {
+    Consider();
+  }
 }
 
 auto Promotion::Question() const -> CandidateQuestion {
@@ -107,23 +108,15 @@
   if (step_ != Step::kHearing) {
     return;
   }
-  std::vector<Hearing> heard;
-  for (const auto& [member, hearing] : heard_) {
-    heard.push_back(hearing);
-  }
-  const auto choice = ChooseCandidate(heard, Question());
+  const auto choice = hearings_.Choose(Question());
   if (choice.verdict == CandidateVerdict::kTermTooLow) {
-    auto highest = term_;
-    for (const auto& it : heard) {
-      highest = std::max(highest, it.follows);
-    }
-    NewAttempt(highest + 1);
+    NewAttempt(std::max(term_, hearings_.HighestTerm()) + 1);
     return;
   }
   if (choice.verdict == CandidateVerdict::kWait) {
     return;
   }
-  const auto all_heard = heard.size() == start_.database.members.size();
+  const auto all_heard = hearings_.size() == start_.database.members.size();
   if (all_heard || grace_over_) {
     Choose(choice.candidate);
     return;
@@ -188,7 +181,7 @@
     outbox_.Log(Event::kPromotionWaits,
                 {{"database", start_.database.name},
                  {"term", std::to_string(term_)},
-                 {"heard", std::to_string(heard_.size())}});
+                 {"heard", std::to_string(hearings_.size())}});
     Consider();
     WaitAndLog();
   }));
--- a/kingcuplock/failover/promotion.h
+++ b/kingcuplock/failover/promotion.h
@@ -9,10 +9,8 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include "kingcuplock/actions/outbox.h"
 #include "kingcuplock/base/life_guard.h"
@@ -72,6 +70,9 @@
   /// Begins the first attempt.
   void Begin();
 
+  /// Takes no further step.
+  void Cancel() { step_ = Step::kDone; }
+
   /// Returns when each step of the last attempt ended.
   auto times() const -> const PromotionTimes& { return times_; }
 
@@ -97,7 +98,7 @@
   PromotionPorts ports_;
   Step step_ = Step::kIdle;
   std::int64_t term_ = 0;
-  std::map<std::string, Hearing> heard_;
+  Hearings<> hearings_;
   Hearing candidate_;
   bool grace_over_ = false;
   int orders_ = 0;
--- a/kingcuplock/node/node.cc
+++ b/kingcuplock/node/node.cc
@@ -22,6 +22,12 @@
 /// Quiet time in ms after which a stopping instance ends.
 constexpr Milliseconds kStopQuiet{300};
 
+/// Returns whether an owner of one configuration can go on under the other.
+auto SameGroup(const DatabaseConfig& a, DatabaseConfig b) -> bool {
+  b.kinds = a.kinds;
+  return a == b;
+}
+
 auto KeyPrefix(const ProxySettings& settings) -> std::string {
   return "kingcuplock/" + settings.deployment + "/";
 }
@@ -230,6 +236,19 @@
   for (const auto& it : names) {
     ownership_.Evaluate(it);
   }
+  RestartChangedOwners();
+}
+
+void Node::RestartChangedOwners() {
+  for (auto& [name, owner] : owners_) {
+    const auto* config = FindDatabase(manifests_.manifest(), name);
+    if (config == nullptr) {
+      owner->Drain([this, name = name] { ReleaseOwned(name); });
+    } else if (!SameGroup(*config, owner->config())) {
+      // A new epoch fences the statements of the present owner.
+      owner->Drain([this, name = name] { ownership_.Reacquire(name, 0); });
+    }
+  }
 }
 
 void Node::OnManifestItem(const StoreItem& item, bool deleted) {
@@ -287,6 +306,9 @@
                                         std::function<void(bool)> written) {
     ownership_.Write(database, term, primary, phase, std::move(written));
   };
+  ports.fenced_out = [this, database](std::int64_t epoch) {
+    ownership_.Reacquire(database, epoch);
+  };
   ports.failed_over = [this](const FailoverGap& gap) {
     if (failovers_.size() < kMaxFailovers) {
       failovers_.push_back(gap);
--- a/kingcuplock/node/node.h
+++ b/kingcuplock/node/node.h
@@ -65,6 +65,7 @@
 
   // Configuration and membership.
   void OnManifestChanged();
+  void RestartChangedOwners();
   void OnManifestItem(const StoreItem& item, bool deleted);
   void OnPlatformItem(const StoreItem& item, bool deleted);
   auto BuildHeartbeat() const -> Heartbeat;
--- a/kingcuplock/owner/database_owner.cc
+++ b/kingcuplock/owner/database_owner.cc
@@ -47,7 +47,7 @@
           [this](const RequestPtr& request, CallerAnswer answer) {
             Finish(request, std::move(answer));
           },
-          [this] { Stop(); }),
+          [this] { OnFencedOut(0); }),
       reader_(
           config_,
           leader_,
@@ -84,7 +84,8 @@
     runner_.GiveUpPrimary(primary);
   };
   out.sampled = [this] { runner_.AcknowledgeReady(); };
-  out.fenced_out = [this] { Stop(); };
+  fenced_out_ = std::move(ports.fenced_out);
+  out.fenced_out = [this](std::int64_t epoch) { OnFencedOut(epoch); };
   return out;
 }
 
@@ -175,6 +176,14 @@
   }
 }
 
+void DatabaseOwner::OnFencedOut(std::int64_t epoch) {
+  if (phase() == OwnerPhase::kStopped) {
+    return;
+  }
+  Stop();
+  fenced_out_(epoch);
+}
+
 void DatabaseOwner::Drain(std::function<void()> done) {
   draining_ = true;
   on_drained_ = std::move(done);
--- a/kingcuplock/owner/database_owner.h
+++ b/kingcuplock/owner/database_owner.h
@@ -37,6 +37,8 @@
       write_record;
   /// A failover is over.
   std::function<void(const FailoverGap&)> failed_over;
+  /// The owner stopped because it was fenced out; see LeaderPorts::fenced_out.
+  std::function<void(std::int64_t epoch)> fenced_out;
 };
 
 /// Not thread safe.
@@ -74,6 +76,9 @@
   /// Returns the primary, empty while there is none.
   auto primary() const -> const std::string& { return leader_.primary(); }
 
+  /// Returns the configuration that it was made with.
+  auto config() const -> const DatabaseConfig& { return config_; }
+
   /// Returns the number of requests that wait.
   auto Queued() const -> std::size_t { return runner_.Queued(); }
 
@@ -83,6 +88,7 @@
   auto OnAnswer(ConnectionId connection, const MemberAnswer& answer) -> bool;
 
  private:
+  void OnFencedOut(std::int64_t epoch);
   auto MakeLeaderPorts(OwnerPorts ports) -> LeaderPorts;
   void AddPool(const MemberConfig& member, Outbox& outbox);
   void OnFree(const std::string& member);
@@ -93,6 +99,7 @@
   DatabaseConfig config_;
   TimerService& timers_;
   MemberPools pools_;
+  std::function<void(std::int64_t)> fenced_out_;
   GroupLeader leader_;
   RequestRunner runner_;
   ReplicaReader reader_;
--- a/kingcuplock/owner/group_leader.cc
+++ b/kingcuplock/owner/group_leader.cc
@@ -77,6 +77,13 @@
   }
 }
 
+void GroupLeader::Stop() {
+  phase_ = OwnerPhase::kStopped;
+  if (promotion_) {
+    promotion_->Cancel();
+  }
+}
+
 void GroupLeader::NoteHeard() {
   members_.at(primary_).watch->NoteHeard();
 }
@@ -125,6 +132,10 @@
   if (!primary_known) {
     return;
   }
+  if (answer.term > term_) {
+    OvertakeTerm(answer.term);
+    return;
+  }
   acks_->Note(name, {asked, answer.term, member.place});
   if (name == primary_) {
     const auto leads =
@@ -180,6 +191,15 @@
   BeginPromotion();
 }
 
+// A member that follows a later term shows that this leader's term has ended.
+// The write of the record decides whether that was another owner's doing.
+void GroupLeader::OvertakeTerm(std::int64_t term) {
+  if (ports_.lease_is_valid()) {
+    term_ = term;
+    BeginPromotion();
+  }
+}
+
 // ---------------------------------------------------- fence and promotion
 
 void GroupLeader::Discover() {
@@ -202,7 +222,9 @@
 void GroupLeader::OnDiscovered(
     const std::map<std::string, MemberAnswer>& heard) {
   std::string best;
+  std::int64_t newest = 0;
   for (const auto& [name, answer] : heard) {
+    newest = std::max(newest, answer.term);
     const auto leads = answer.role == MemberRole::kPrimary;
     if (leads && (best.empty() || answer.term > heard.at(best).term)) {
       best = name;
@@ -212,10 +234,9 @@
     Discover();
     return;
   }
-  if (best.empty()) {
-    for (const auto& [name, answer] : heard) {
-      term_ = std::max(term_, answer.term);
-    }
+  if (best.empty() || heard.at(best).term < newest) {
+    // The primary of the newest term is not among those heard.
+    term_ = std::max(term_, newest);
     BeginPromotion();
     return;
   }
@@ -260,7 +281,7 @@
     return;
   }
   if (answer->status == MemberStatus::kFenced) {
-    ports_.fenced_out();
+    ports_.fenced_out(answer->epoch);
     return;
   }
   if (answer->status != MemberStatus::kDone) {
@@ -268,6 +289,7 @@
     return;
   }
   fence_ = LogPlace{answer->entry_term, answer->position};
+  fence_raised_at_ = timers_.Now();
   outbox_.Log(Event::kFenceRaised,
               {{"database", config_.name},
                {"epoch", std::to_string(record_.epoch)},
@@ -284,7 +306,7 @@
   if (phase_ != OwnerPhase::kFencing || !fence_) {
     return;
   }
-  if (!acks_->Allows(fence_->position, timers_.Now(),
+  if (!acks_->Allows(fence_->position, fence_raised_at_,
                      ports_.lease_is_valid())) {
     return;
   }
@@ -335,7 +357,7 @@
   ports.done = [this](std::int64_t term, const std::string& primary) {
     OnPromoted(term, primary);
   };
-  ports.failed = [this] { ports_.fenced_out(); };
+  ports.failed = [this] { ports_.fenced_out(0); };
   return ports;
 }
 
--- a/kingcuplock/owner/group_leader.h
+++ b/kingcuplock/owner/group_leader.h
@@ -56,8 +56,9 @@
   std::function<void(const std::string&)> closed;
   /// A member's sample arrived while the primary is known.
   std::function<void()> sampled;
-  /// The database has a newer owner.
-  std::function<void()> fenced_out;
+  /// The fence stands at a newer epoch, given here, or the record went to
+  /// another instance; the epoch is 0 where it is not known.
+  std::function<void(std::int64_t epoch)> fenced_out;
   /// A failover is over.
   std::function<void(const FailoverGap&)> failed_over;
 };
@@ -79,7 +80,7 @@
   void Start();
 
   /// Decides nothing more.
-  void Stop() { phase_ = OwnerPhase::kStopped; }
+  void Stop();
 
   /// Gives the primary up and promotes another member.
   void BeginPromotion();
@@ -144,6 +145,7 @@
   void Fence();
   void OnFenceRaised(std::int64_t term, const MemberAnswer* answer);
   void TryOpen();
+  void OvertakeTerm(std::int64_t term);
   auto MakePromotionPorts() -> PromotionPorts;
   void OnPromoted(std::int64_t term, const std::string& primary);
   void CommitRecord();
@@ -164,6 +166,7 @@
   std::optional<Acknowledgement<>> acks_;
   std::optional<LogPlace> acknowledged_;
   std::optional<LogPlace> fence_;
+  Time fence_raised_at_{};
   AgeTracker ages_;
   std::unique_ptr<Promotion> promotion_;
   std::unique_ptr<Promotion> retired_promotion_;
--- a/kingcuplock/ownership/lease_keeper.cc
+++ b/kingcuplock/ownership/lease_keeper.cc
@@ -62,7 +62,7 @@
   call.value = names_.instance;
   call.lease = lease;
   store_.Call(std::move(call), [this, sent, lease](const StoreAnswer* answer) {
-    if (answer == nullptr || answer->status == StoreStatus::kExpired) {
+    if (answer == nullptr || answer->status != StoreStatus::kDone) {
       RetryGrant();
       return;
     }
--- a/kingcuplock/ownership/ownership_keeper.cc
+++ b/kingcuplock/ownership/ownership_keeper.cc
@@ -68,6 +68,7 @@
   }
   for (const auto& it : databases) {
     entries_[it].in_manifest = true;
+    candidates_.insert(it);
   }
 }
 
@@ -76,8 +77,9 @@
 }
 
 void OwnershipKeeper::Tick() {
-  for (auto& [name, entry] : entries_) {
-    EvaluateEntry(name, entry);
+  const std::vector<std::string> names(candidates_.begin(), candidates_.end());
+  for (const auto& it : names) {
+    Evaluate(it);
   }
   timers_.After(Milliseconds(kTickMs), [this] { Tick(); });
 }
@@ -89,9 +91,19 @@
   }
 }
 
+void OwnershipKeeper::Reconsider(const std::string& database) {
+  candidates_.insert(database);
+  Evaluate(database);
+}
+
 void OwnershipKeeper::EvaluateEntry(const std::string& database, Entry& entry) {
-  const auto idle = !entry.owned && !entry.writing && entry.in_manifest;
-  if (!idle || !acquiring_ || !lease_.IsValid() || !IsVacant(entry)) {
+  const auto is_free = IsVacant(entry) || IsOrphaned(entry);
+  if (entry.owned || !entry.in_manifest || !is_free) {
+    candidates_.erase(database);
+    entry.vacant_since.reset();
+    return;
+  }
+  if (entry.writing || entry.verifying || !MayTake(entry)) {
     entry.vacant_since.reset();
     return;
   }
@@ -100,7 +112,6 @@
   }
   const auto delay = TakeoverDelay(database, entry);
   if (timers_.Now() - *entry.vacant_since >= delay) {
-    entry.writing = true;
     VerifyVacancy(database);
   }
 }
@@ -112,6 +123,21 @@
   return !leases_.contains(entry.record->lease);
 }
 
+auto OwnershipKeeper::IsOrphaned(const Entry& entry) const -> bool {
+  return entry.record && entry.record->owner == names_.instance &&
+         entry.record->lease == lease_.lease() && lease_.lease() != 0;
+}
+
+auto OwnershipKeeper::IsOwn(const Entry& entry, const OwnerRecord& record) const
+    -> bool {
+  return record.owner == names_.instance && record.lease == lease_.lease() &&
+         lease_.lease() != 0 && record.epoch >= entry.least_epoch;
+}
+
+auto OwnershipKeeper::MayTake(const Entry& entry) const -> bool {
+  return acquiring_ && entry.in_manifest && !entry.owned && lease_.IsValid();
+}
+
 auto OwnershipKeeper::TakeoverDelay(const std::string& database,
                                     const Entry& entry) const -> Duration {
   if (entry.record && entry.record->phase != Phase::kReleased &&
@@ -124,32 +150,44 @@
 
 void OwnershipKeeper::VerifyVacancy(const std::string& database) {
   auto& entry = entries_.at(database);
-  if (!entry.record || entry.record->phase == Phase::kReleased) {
+  if (!entry.record || entry.record->phase == Phase::kReleased ||
+      IsOrphaned(entry)) {
     TakeOver(database);
     return;
   }
+  entry.verifying = true;
   const auto lease = entry.record->lease;
   StoreCall call;
   call.op = StoreOp::kGet;
   call.key = names_.LeaseKey(lease);
-  store_.Call(
-      std::move(call), [this, database, lease](const StoreAnswer* answer) {
-        auto& entry = entries_.at(database);
-        if (answer != nullptr && answer->status == StoreStatus::kAbsent) {
-          TakeOver(database);
-          return;
-        }
-        entry.writing = false;
-        if (answer != nullptr) {
-          leases_.insert(lease);
-        }
-      });
+  store_.Call(std::move(call),
+              [this, database, lease](const StoreAnswer* answer) {
+                OnVerified(database, lease, answer);
+              });
+}
+
+void OwnershipKeeper::OnVerified(const std::string& database,
+                                 std::int64_t lease,
+                                 const StoreAnswer* answer) {
+  auto& entry = entries_.at(database);
+  entry.verifying = false;
+  if (answer == nullptr) {
+    return;
+  }
+  if (answer->status != StoreStatus::kAbsent) {
+    leases_.insert(lease);
+    return;
+  }
+  const auto same = entry.record && entry.record->lease == lease;
+  if (same && !entry.writing && MayTake(entry)) {
+    TakeOver(database);
+  }
 }
 
 void OwnershipKeeper::TakeOver(const std::string& database) {
   auto& entry = entries_.at(database);
   OwnerRecord next = entry.record.value_or(OwnerRecord{});
-  next.epoch += 1;
+  next.epoch = std::max(next.epoch + 1, entry.least_epoch);
   next.owner = names_.instance;
   next.lease = lease_.lease();
   if (next.phase == Phase::kReleased) {
@@ -163,43 +201,82 @@
                             const std::string& primary,
                             Phase phase,
                             WriteCallback callback) {
+  const auto change = [term, primary, phase](OwnerRecord& record) {
+    record.term = term;
+    record.primary = primary;
+    record.phase = phase;
+  };
+  ChangeOwned(database, change, std::move(callback));
+}
+
+void OwnershipKeeper::Release(const std::string& database,
+                              WriteCallback callback) {
+  const auto change = [](OwnerRecord& record) {
+    // A promotion that is under way is left for the successor to resume.
+    if (record.phase == Phase::kServing) {
+      record.phase = Phase::kReleased;
+    }
+    record.owner.clear();
+    record.lease = 0;
+  };
+  ChangeOwned(database, change, std::move(callback));
+}
+
+void OwnershipKeeper::Reacquire(const std::string& database,
+                                std::int64_t seen_epoch) {
   const auto it = entries_.find(database);
-  if (it == entries_.end() || !it->second.owned || it->second.writing) {
-    callback(false);
+  if (it == entries_.end() || !it->second.owned) {
     return;
   }
-  auto next = *it->second.record;
-  next.term = term;
-  next.primary = primary;
-  next.phase = phase;
-  it->second.writing = true;
-  Swap(database, std::move(next), std::move(callback));
+  auto& entry = it->second;
+  entry.least_epoch = std::max(entry.record->epoch, seen_epoch) + 1;
+  Lose(database, entry);
+  Reconsider(database);
 }
 
-void OwnershipKeeper::Release(const std::string& database,
-                              WriteCallback callback) {
+void OwnershipKeeper::ChangeOwned(const std::string& database,
+                                  Change change,
+                                  WriteCallback callback) {
   const auto it = entries_.find(database);
-  if (it == entries_.end() || !it->second.owned || it->second.writing) {
+  if (it == entries_.end() || !it->second.owned) {
     callback(false);
     return;
   }
-  auto next = *it->second.record;
-  // A promotion that is under way is left for the successor to resume.
-  if (next.phase == Phase::kServing) {
-    next.phase = Phase::kReleased;
+  auto& entry = it->second;
+  if (!entry.writing) {
+    WriteChange(database, {std::move(change), std::move(callback)});
+    return;
+  }
+  if (!entry.queued) {
+    entry.queued = {std::move(change), std::move(callback)};
+    return;
   }
-  next.owner.clear();
-  next.lease = 0;
-  it->second.writing = true;
-  Swap(database, std::move(next), std::move(callback));
+  auto earlier = std::move(*entry.queued);
+  entry.queued = {
+      [first = earlier.change, second = change](OwnerRecord& record) {
+        first(record);
+        second(record);
+      },
+      [first = earlier.callback, second = callback](bool written) {
+        first(written);
+        second(written);
+      }};
+}
+
+void OwnershipKeeper::WriteChange(const std::string& database,
+                                  const QueuedWrite& write) {
+  auto next = *entries_.at(database).record;
+  write.change(next);
+  Swap(database, std::move(next), write.callback);
 }
 
 void OwnershipKeeper::Swap(const std::string& database,
                            OwnerRecord record,
                            WriteCallback callback) {
+  auto& entry = entries_.at(database);
+  entry.writing = true;
   record.attempt = NextAttempt();
-  const auto expected = entries_.at(database).version;
-  SendSwap(database, record, expected, callback);
+  SendSwap(database, record, entry.version, callback);
 }
 
 void OwnershipKeeper::SendSwap(const std::string& database,
@@ -234,26 +311,41 @@
   const auto current = answer->items.empty()
                            ? std::nullopt
                            : ParseRecord(answer->items.front().value);
-  if (!answer->items.empty() && answer->items.front().version > entry.version) {
+  if (!answer->items.empty()) {
     entry.version = answer->items.front().version;
     entry.record = current;
   }
   const auto written = current && current->attempt == record.attempt;
-  if (!written) {
+  ApplySwap(database, record, written);
+  callback(written);
+  if (current) {
+    callbacks_.changed(database, *current);
+  }
+  TakeDeferred(database);
+  Reconsider(database);
+}
+
+void OwnershipKeeper::ApplySwap(const std::string& database,
+                                const OwnerRecord& record,
+                                bool written) {
+  auto& entry = entries_.at(database);
+  if (!written || record.owner != names_.instance) {
     Lose(database, entry);
-    callback(false);
-    if (current) {
-      callbacks_.changed(database, *current);
-    }
     return;
   }
-  if (record.owner != names_.instance) {
-    Lose(database, entry);
-  } else if (!entry.owned && record.lease == lease_.lease()) {
+  if (!entry.owned && IsOwn(entry, record)) {
     Adopt(database, entry);
   }
-  callback(true);
-  callbacks_.changed(database, record);
+  if (entry.owned && entry.queued && !entry.writing) {
+    WriteChange(database, *std::exchange(entry.queued, std::nullopt));
+  }
+}
+
+void OwnershipKeeper::TakeDeferred(const std::string& database) {
+  const auto item = std::exchange(entries_.at(database).deferred, std::nullopt);
+  if (item) {
+    OnRecord(*item, false);
+  }
 }
 
 void OwnershipKeeper::Adopt(const std::string& database, Entry& entry) {
@@ -270,6 +362,9 @@
     outbox_.Log(Event::kOwnerLost, {{"database", database}});
     callbacks_.lost(database);
   }
+  if (const auto queued = std::exchange(entry.queued, std::nullopt)) {
+    queued->callback(false);
+  }
 }
 
 void OwnershipKeeper::OnRecord(const StoreItem& item, bool deleted) {
@@ -284,21 +379,19 @@
     return;
   }
   if (entry.writing) {
-    // The answer to the own write, or its conflict, tells the same.
+    entry.deferred = item;
     callbacks_.changed(database, *record);
     return;
   }
   entry.version = item.version;
   entry.record = record;
-  const auto own = record->owner == names_.instance &&
-                   record->lease == lease_.lease() && lease_.lease() != 0;
-  if (!own) {
+  if (!IsOwn(entry, *record)) {
     Lose(database, entry);
   } else if (!entry.owned) {
     Adopt(database, entry);
   }
   callbacks_.changed(database, *record);
-  EvaluateEntry(database, entry);
+  Reconsider(database);
 }
 
 void OwnershipKeeper::OnLeaseKey(const StoreItem& item, bool deleted) {
@@ -311,7 +404,7 @@
   leases_.erase(lease);
   for (auto& [name, entry] : entries_) {
     if (entry.record && entry.record->lease == lease) {
-      EvaluateEntry(name, entry);
+      Reconsider(name);
     }
   }
 }
@@ -326,6 +419,7 @@
       leases_.erase(entry.record->lease);
     }
     Lose(name, entry);
+    candidates_.insert(name);
   }
 }
 
--- a/kingcuplock/ownership/ownership_keeper.h
+++ b/kingcuplock/ownership/ownership_keeper.h
@@ -39,10 +39,12 @@
   std::function<void(const std::string&, const OwnerRecord&)> changed;
 };
 
-/// Not thread safe. Events are O(log n) in databases, a lease change O(n).
+/// Not thread safe. Events are O(log n) in databases, a lease change O(n); the
+/// regular look is O(v log n) in the vacant ones.
 class OwnershipKeeper {
  public:
-  /// Gets whether the record was written.
+  /// Gets whether the record was written, by this write or a later one of the
+  /// same owner that includes it.
   using WriteCallback = std::function<void(bool written)>;
 
   OwnershipKeeper(InstanceNames names,
@@ -62,7 +64,8 @@
   void SetLiveInstances(std::span<const std::string> instances);
 
   /// Replaces the record of an owned database, keeping epoch, owner and lease.
-  /// Lost answers are resolved; a lost race ends the ownership.
+  /// Lost answers are resolved; a lost race ends the ownership. A write that
+  /// finds an earlier one unanswered waits for it.
   void Write(const std::string& database,
              std::int64_t term,
              const std::string& primary,
@@ -72,6 +75,11 @@
   /// Gives an owned database up so that a successor takes it at once.
   void Release(const std::string& database, WriteCallback callback);
 
+  /// Ends the present ownership of a database whose fence was found raised to
+  /// `seen_epoch` (0 for unknown), and takes it over again past that epoch
+  /// unless the record belongs to another instance by then.
+  void Reacquire(const std::string& database, std::int64_t seen_epoch);
+
   /// Takes no more databases, as before a planned stop.
   void StopAcquiring() { acquiring_ = false; }
 
@@ -94,25 +102,48 @@
   auto LeaseIsValid() const -> bool { return lease_.IsValid(); }
 
  private:
+  using Change = std::function<void(OwnerRecord&)>;
+  /// Changes that wait for the answer to an earlier write.
+  struct QueuedWrite {
+    Change change;
+    WriteCallback callback;
+  };
   struct Entry {
     bool in_manifest = false;
     bool owned = false;
     bool writing = false;
+    bool verifying = false;
     std::int64_t version = 0;
+    /// Lowest epoch under which this instance may own the database.
+    std::int64_t least_epoch = 0;
     std::optional<OwnerRecord> record;
     std::optional<Time> vacant_since;
+    std::optional<QueuedWrite> queued;
+    /// Newest watched item that arrived during an own write.
+    std::optional<StoreItem> deferred;
   };
 
   void OnRecord(const StoreItem& item, bool deleted);
   void OnLeaseKey(const StoreItem& item, bool deleted);
   void OnOwnLease(std::int64_t lease);
   void Tick();
+  void Reconsider(const std::string& database);
   void EvaluateEntry(const std::string& database, Entry& entry);
   auto IsVacant(const Entry& entry) const -> bool;
+  auto IsOrphaned(const Entry& entry) const -> bool;
+  auto IsOwn(const Entry& entry, const OwnerRecord& record) const -> bool;
+  auto MayTake(const Entry& entry) const -> bool;
   auto TakeoverDelay(const std::string& database, const Entry& entry) const
       -> Duration;
   void VerifyVacancy(const std::string& database);
+  void OnVerified(const std::string& database,
+                  std::int64_t lease,
+                  const StoreAnswer* answer);
   void TakeOver(const std::string& database);
+  void ChangeOwned(const std::string& database,
+                   Change change,
+                   WriteCallback callback);
+  void WriteChange(const std::string& database, const QueuedWrite& write);
   void Swap(const std::string& database,
             OwnerRecord record,
             WriteCallback callback);
@@ -125,6 +156,10 @@
                  std::int64_t expected,
                  const WriteCallback& callback,
                  const StoreAnswer* answer);
+  void ApplySwap(const std::string& database,
+                 const OwnerRecord& record,
+                 bool written);
+  void TakeDeferred(const std::string& database);
   void Adopt(const std::string& database, Entry& entry);
   void Lose(const std::string& database, Entry& entry);
   auto RecordKey(const std::string& database) const -> std::string;
@@ -138,6 +173,8 @@
   OwnershipCallbacks callbacks_;
   LeaseKeeper lease_;
   std::map<std::string, Entry, std::less<>> entries_;
+  /// Databases that may be free to take; the others need no regular look.
+  std::set<std::string, std::less<>> candidates_;
   std::set<std::int64_t> leases_;
   std::vector<std::string> live_;
   std::int64_t last_attempt_ = 0;
--- a/testing/node_fixture.cc
+++ b/testing/node_fixture.cc
@@ -91,9 +91,9 @@
 }
 
 auto NodeFixture::Delay() -> Duration {
-  constexpr std::int64_t kMinDelayUs = 100;
+  const auto least = options_.min_delay_us;
   return Duration(std::uniform_int_distribution<std::int64_t>(
-      kMinDelayUs, std::max(options_.max_delay_us, kMinDelayUs))(random_));
+      least, std::max(options_.max_delay_us, least))(random_));
 }
 
 void NodeFixture::Step(Time until) {
@@ -260,7 +260,10 @@
     });
     return;
   }
-  At(Delay() + Delay(), [this, node, id, reachable, run] {
+  const auto accept = open.kind == ConnectionKind::kMember && reachable
+                          ? Duration(options_.open_us)
+                          : Duration::zero();
+  At(Delay() + Delay() + accept, [this, node, id, reachable, run] {
     auto* found = FindLink(node, id);
     if (found == nullptr || nodes_[node].run != run) {
       return;
--- a/testing/node_fixture.h
+++ b/testing/node_fixture.h
@@ -41,8 +41,11 @@
   /// Statement slots and connections of each member.
   std::int64_t slots = 2;
   std::int64_t connections = 16;
-  /// Longest one-way delay of a message in microseconds.
+  /// Shortest and longest one-way delay of a message in microseconds.
+  std::int64_t min_delay_us = 100;
   std::int64_t max_delay_us = 800;
+  /// Time that a member takes to accept a connection in microseconds.
+  std::int64_t open_us = 0;
   /// Time that a member takes for a request in microseconds.
   std::int64_t service_us = 500;
   /// Acknowledgement of every database.
