--- a/kingcuplock/failover/promotion.cc
+++ b/kingcuplock/failover/promotion.cc
@@ -177,7 +177,7 @@
   outbox_.Log(Event::kPromotionDone, {{"database", start_.database.name},
                                       {"term", std::to_string(term_)},
                                       {"primary", candidate_.member}});
-  ports_.done(term_, candidate_.member);
+  ports_.done(term_, candidate_.member, {answer->entry_term, answer->position});
 }
 
 void Promotion::WaitAndLog() {
--- a/kingcuplock/failover/promotion.h
+++ b/kingcuplock/failover/promotion.h
@@ -53,8 +53,11 @@
       call;
   /// Writes the ownership record with the new term, phase promoting.
   std::function<void(std::int64_t term, std::function<void(bool)>)> record;
-  /// The candidate leads `term`.
-  std::function<void(std::int64_t term, const std::string& primary)> done;
+  /// The candidate leads `term`; its log ends at `end` and holds no entry of
+  /// the term yet.
+  std::function<
+      void(std::int64_t term, const std::string& primary, LogPlace end)>
+      done;
   /// The record could not be written: this instance owns the database no more.
   std::function<void()> failed;
 };
--- a/kingcuplock/node/node.cc
+++ b/kingcuplock/node/node.cc
@@ -282,11 +282,13 @@
   }
   OwnerPorts ports;
   ports.lease_is_valid = [this] { return ownership_.LeaseIsValid(); };
-  ports.write_record = [this, database](std::int64_t term,
-                                        const std::string& primary, Phase phase,
-                                        std::function<void(bool)> written) {
-    ownership_.Write(database, term, primary, phase, std::move(written));
-  };
+  ports.write_record =
+      [this, database](std::int64_t term, const std::string& primary,
+                       Phase phase, const std::vector<TermStart>& term_starts,
+                       std::function<void(bool)> written) {
+        ownership_.Write(database, term, primary, phase, term_starts,
+                         std::move(written));
+      };
   ports.failed_over = [this](const FailoverGap& gap) {
     if (failovers_.size() < kMaxFailovers) {
       failovers_.push_back(gap);
--- /dev/null
+++ b/kingcuplock/node/session_consistency_test.cc
@@ -0,0 +1,271 @@
+#include <algorithm>
+#include <functional>
+#include <random>
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "kingcuplock/session/token.h"
+#include "testing/node_fixture.h"
+#include "testing/roaming_session.h"
+
+namespace kingcuplock {
+namespace {
+
+constexpr std::uint64_t kSeeds = 40;
+constexpr Duration kStaleAge = Milliseconds(5000);
+
+/// Breaks something at random and mends it after a while.
+class FaultSchedule {
+ public:
+  FaultSchedule(NodeFixture& fixture, SessionCrowd& crowd, std::uint64_t seed)
+      : fixture_(fixture), crowd_(crowd), random_(seed) {}
+
+  /// Runs one fault from beginning to end under load.
+  void RunOne() {
+    switch (Pick(9)) {
+      case 0:
+        return Lag();
+      case 1:
+        return PauseMember(Replica());
+      case 2:
+        return KillMember(Replica());
+      case 3:
+        return KillMember(fixture_.Primary("db0").name);
+      case 4:
+        return LosePrimary();
+      case 5:
+        return KillOwner();
+      case 6:
+        return PauseOwner();
+      case 7:
+        return CutOwnerFromStore();
+      default:
+        return CutOwnerFromPrimary();
+    }
+  }
+
+ private:
+  auto Pick(int n) -> int {
+    return std::uniform_int_distribution<int>(0, n - 1)(random_);
+  }
+  auto Replica() -> std::string {
+    const auto primary = fixture_.Primary("db0").name;
+    std::string name;
+    do {
+      name = "db0-" + std::to_string(1 + Pick(3));
+    } while (name == primary);
+    return name;
+  }
+  void Hold() { crowd_.RunFor(Milliseconds(200 + Pick(2500))); }
+
+  void Lag() {
+    fixture_.SetLag(Replica(), Milliseconds(Pick(6000)));
+    Hold();
+    for (auto n = 1; n <= 3; ++n) {
+      fixture_.SetLag("db0-" + std::to_string(n), Duration::zero());
+    }
+  }
+  void PauseMember(const std::string& name) {
+    fixture_.PauseMember(name, true);
+    Hold();
+    fixture_.PauseMember(name, false);
+  }
+  void KillMember(const std::string& name) {
+    fixture_.KillMember(name);
+    Hold();
+    fixture_.ReviveMember(name);
+  }
+  /// The primary serves reads of data that no replica gets, then dies.
+  void LosePrimary() {
+    const auto name = fixture_.Primary("db0").name;
+    fixture_.IsolateMember(name, true);
+    crowd_.RunFor(Milliseconds(100 + Pick(400)));
+    fixture_.KillMember(name);
+    Hold();
+    fixture_.IsolateMember(name, false);
+    fixture_.ReviveMember(name);
+  }
+  void KillOwner() {
+    const auto owner = fixture_.OwnerOf("db0");
+    if (owner == fixture_.nodes()) {
+      return;
+    }
+    crowd_.Avoid(owner, true);
+    crowd_.Finish();
+    fixture_.KillNode(owner);
+    Hold();
+    fixture_.StartNode(owner);
+    crowd_.Avoid(owner, false);
+  }
+  void PauseOwner() {
+    const auto owner = fixture_.OwnerOf("db0");
+    if (owner == fixture_.nodes()) {
+      return;
+    }
+    // The age promise ends at the entry: a paused one answers late.
+    crowd_.Avoid(owner, true);
+    crowd_.Finish();
+    fixture_.PauseNode(owner, true);
+    Hold();
+    fixture_.PauseNode(owner, false);
+    crowd_.Avoid(owner, false);
+  }
+  void CutOwnerFromStore() {
+    const auto owner = fixture_.OwnerOf("db0");
+    if (owner == fixture_.nodes()) {
+      return;
+    }
+    fixture_.CutStore(owner, true);
+    Hold();
+    fixture_.CutStore(owner, false);
+  }
+  void CutOwnerFromPrimary() {
+    const auto owner = fixture_.OwnerOf("db0");
+    if (owner == fixture_.nodes()) {
+      return;
+    }
+    const auto name = fixture_.Primary("db0").name;
+    fixture_.CutMember(owner, name, true);
+    Hold();
+    fixture_.CutMember(owner, name, false);
+  }
+
+  NodeFixture& fixture_;
+  SessionCrowd& crowd_;
+  std::mt19937_64 random_;
+};
+
+void CheckAges(NodeFixture& fixture, std::uint64_t seed) {
+  // Ways from the member to the owner and on to the caller.
+  constexpr Duration kWayBack = Milliseconds(4);
+  const auto& log = fixture.Primary("db0").log;
+  for (const auto& it : fixture.answers()) {
+    if (it.request.kind == "stale" && it.answer.status == Status::kOk) {
+      CAPTURE(seed);
+      CAPTURE(it.answer.id);
+      CHECK(TrueAge(log, it.answer.position, it.answered) <=
+            kStaleAge + kWayBack);
+    }
+  }
+}
+
+void CheckSessions(const SessionCrowd& crowd, std::uint64_t seed) {
+  for (const auto& it : crowd.violations()) {
+    FAIL_CHECK("seed " << seed << ": " << it);
+  }
+}
+
+TEST_CASE(
+    "Roaming sessions see their own work and never less than before, and no "
+    "read is older than stated, under random failures") {
+  CrowdTally sum;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    NodeFixture fixture({.seed = seed, .nodes = 3});
+    fixture.Settle();
+    SessionCrowd crowd(fixture, {.seed = seed});
+    FaultSchedule faults(fixture, crowd, seed);
+    for (auto n = 0; n < 5; ++n) {
+      crowd.RunFor(Milliseconds(300));
+      faults.RunOne();
+    }
+    crowd.RunFor(Milliseconds(2000));
+    crowd.Finish();
+    CheckSessions(crowd, seed);
+    CheckAges(fixture, seed);
+    sum.writes_ok += crowd.tally().writes_ok;
+    sum.stale_ok += crowd.tally().stale_ok;
+    sum.from_replica += crowd.tally().from_replica;
+    sum.position_lost += crowd.tally().position_lost;
+    sum.unknown += crowd.tally().unknown;
+    sum.refused += crowd.tally().refused;
+  }
+  MESSAGE("writes " << sum.writes_ok << ", stale reads " << sum.stale_ok
+                    << ", from replicas " << sum.from_replica
+                    << ", position_lost " << sum.position_lost << ", unknown "
+                    << sum.unknown << ", refused " << sum.refused);
+  CHECK(sum.stale_ok > 1000);
+  CHECK(sum.position_lost > 0);
+}
+
+TEST_CASE("Data that only a dead primary held is position_lost, not less") {
+  NodeFixture fixture({.seed = 5, .nodes = 3});
+  fixture.Settle();
+  REQUIRE(fixture.Ask(0, fixture.Append("w1", "row", "a")).status ==
+          Status::kOk);
+  const auto old_primary = fixture.Primary("db0").name;
+  fixture.IsolateMember(old_primary, true);
+  auto doubtful = fixture.Append("w2", "row", "b");
+  doubtful.patience_ms = 200;
+  CHECK(fixture.Ask(0, doubtful).status == Status::kUnknown);
+  const auto seen = fixture.Ask(1, fixture.Get("r1", "fresh", "row"));
+  REQUIRE(seen.results.at(0).value == "a,b");
+  fixture.KillMember(old_primary);
+  REQUIRE(fixture.Ask(1, fixture.Append("w3", "row", "c")).status ==
+          Status::kOk);
+  for (const auto* kind : {"fresh", "stale"}) {
+    auto read = fixture.Get(std::string("lost-") + kind, kind, "row");
+    read.token = seen.token;
+    const auto answer = fixture.Ask(2, read);
+    CHECK(answer.status == Status::kNotRun);
+    CHECK(answer.error == ErrorKind::kPositionLost);
+  }
+  SUBCASE("a later owner knows it too") {
+    fixture.KillNode(fixture.OwnerOf("db0"));
+    fixture.RunFor(Milliseconds(4000));
+    const auto owner = fixture.OwnerOf("db0");
+    REQUIRE(owner < fixture.nodes());
+    auto read = fixture.Get("lost-later", "fresh", "row");
+    read.token = seen.token;
+    CHECK(fixture.Ask(owner, read).error == ErrorKind::kPositionLost);
+  }
+  SUBCASE("a write of that session does not run and hides nothing") {
+    auto write = fixture.Append("w4", "row", "d");
+    write.token = seen.token;
+    const auto answer = fixture.Ask(2, write);
+    CHECK(answer.status == Status::kNotRun);
+    CHECK(answer.error == ErrorKind::kPositionLost);
+    CHECK(fixture.Primary("db0").rows.at("row") == "a,c");
+  }
+}
+
+TEST_CASE("A forged token costs one read and only its own session") {
+  NodeFixture fixture({.seed = 6, .nodes = 3});
+  fixture.Settle();
+  const auto written = fixture.Ask(0, fixture.Append("w1", "row", "a"));
+  REQUIRE(written.status == Status::kOk);
+  for (const auto place : {LogPlace{1, 1'000'000}, LogPlace{900, 1}}) {
+    SessionToken forged;
+    forged.Advance("db0", place);
+    for (auto n = 0; n < 50; ++n) {
+      auto read = fixture.Get(
+          "f" + std::to_string(place.term) + "-" + std::to_string(n),
+          n % 2 == 0 ? "stale" : "fresh", "row");
+      read.token = forged.Format();
+      const auto asked = fixture.Now();
+      const auto answer = fixture.Ask(1, read);
+      CHECK(answer.error == ErrorKind::kPositionLost);
+      CHECK(fixture.Now() - asked < Milliseconds(20));
+    }
+  }
+  SUBCASE("other sessions are served as before") {
+    auto read = fixture.Get("r1", "stale", "row");
+    read.token = written.token;
+    CHECK(fixture.Ask(2, read).results.at(0).value == "a");
+  }
+  SUBCASE("a token of another database says nothing here") {
+    SessionToken other;
+    other.Advance("db7", {900, 1'000'000});
+    auto read = fixture.Get("r2", "stale", "row");
+    read.token = other.Format();
+    CHECK(fixture.Ask(2, read).results.at(0).value == "a");
+  }
+  SUBCASE("a cut token is refused at the entry") {
+    auto read = fixture.Get("r3", "stale", "row");
+    read.token = written.token.substr(0, written.token.size() - 1);
+    CHECK(fixture.Ask(2, read).error == ErrorKind::kBadToken);
+  }
+}
+
+}  // namespace
+}  // namespace kingcuplock
--- a/kingcuplock/outcome/acknowledgement.h
+++ b/kingcuplock/outcome/acknowledgement.h
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -64,6 +65,21 @@
            OnAReplica(position);
   }
 
+  /// Returns a time at which the primary surely led, because every member was
+  /// asked at or after it and still followed this term; nullopt if one did not.
+  auto ConfirmedSince() const -> std::optional<Time> {
+    std::optional<Time> since;
+    for (const auto& it : members_) {
+      const auto sample = samples_.find(it);
+      if (sample == samples_.end() || sample->second.follows != term_) {
+        return std::nullopt;
+      }
+      since =
+          std::min(since.value_or(sample->second.asked), sample->second.asked);
+    }
+    return since;
+  }
+
  private:
   auto Holds(const MemberSample& sample, std::int64_t position) const -> bool {
     const auto own_entry = !Rules::kOwnEntry || sample.last_entry.term == term_;
--- a/kingcuplock/owner/database_owner.cc
+++ b/kingcuplock/owner/database_owner.cc
@@ -83,7 +83,10 @@
   out.closed = [this](const std::string& primary) {
     runner_.GiveUpPrimary(primary);
   };
-  out.sampled = [this] { runner_.AcknowledgeReady(); };
+  out.sampled = [this] {
+    runner_.AcknowledgeReady();
+    reader_.OnSampled();
+  };
   out.fenced_out = [this] { Stop(); };
   return out;
 }
--- a/kingcuplock/owner/database_owner.h
+++ b/kingcuplock/owner/database_owner.h
@@ -29,10 +29,11 @@
 struct OwnerPorts {
   /// Returns whether the instance's lease is valid.
   std::function<bool()> lease_is_valid;
-  /// Writes term, primary and phase to the ownership record.
+  /// Writes term, primary, phase and starts of terms to the ownership record.
   std::function<void(std::int64_t term,
                      const std::string& primary,
                      Phase phase,
+                     const std::vector<TermStart>& term_starts,
                      std::function<void(bool)>)>
       write_record;
   /// A failover is over.
--- a/kingcuplock/owner/group_leader.cc
+++ b/kingcuplock/owner/group_leader.cc
@@ -54,7 +54,8 @@
       timing_(timing),
       timers_(timers),
       outbox_(outbox),
-      ports_(std::move(ports)) {
+      ports_(std::move(ports)),
+      history_(record_.term_starts) {
   for (const auto& it : config_.members) {
     AddMember(it);
   }
@@ -95,6 +96,14 @@
   return it == members_.end() ? LogPlace{} : it->second.place;
 }
 
+auto GroupLeader::Responds(const std::string& member) const -> bool {
+  const auto it = members_.find(member);
+  const auto longest =
+      Milliseconds(timing_.probe_ms + timing_.probe_timeout_ms);
+  return it != members_.end() && it->second.sampled &&
+         timers_.Now() - *it->second.sampled <= longest;
+}
+
 // ---------------------------------------------------------------- members
 
 void GroupLeader::AddMember(const MemberConfig& config) {
@@ -120,6 +129,7 @@
   auto& member = members_.at(name);
   member.place = {answer.entry_term, answer.position};
   member.follows = answer.term;
+  member.sampled = timers_.Now();
   const auto primary_known =
       phase_ == OwnerPhase::kFencing || phase_ == OwnerPhase::kServing;
   if (!primary_known) {
@@ -134,7 +144,7 @@
       return;
     }
     if (leads) {
-      ages_.AddSample(asked, member.place);
+      NotePrimaryPlace(asked, member.place);
     }
   } else if (answer.term < term_ || answer.role == MemberRole::kPrimary) {
     Demote(name, member);
@@ -143,6 +153,15 @@
   ports_.sampled();
 }
 
+void GroupLeader::NotePrimaryPlace(Time asked, LogPlace place) {
+  primary_place_ = std::max(primary_place_, place);
+  if (ports_.lease_is_valid()) {
+    ages_.AddSample(asked, place);
+  } else if (const auto since = acks_->ConfirmedSince()) {
+    ages_.AddSample(std::min(asked, *since), place);
+  }
+}
+
 void GroupLeader::Demote(const std::string& name, Member& member) {
   const auto now = timers_.Now();
   const auto ordered_lately = member.last_follow_order &&
@@ -220,6 +239,10 @@
     return;
   }
   SetPrimary(heard.at(best).term, best);
+  if (term_ > 1) {
+    // Tokens of earlier terms were issued under a record that is gone.
+    history_.NoteUnknown(term_);
+  }
   CommitRecord();
   Fence();
 }
@@ -330,16 +353,23 @@
     CallMember(member, request, timeout, std::move(callback));
   };
   ports.record = [this](std::int64_t term, std::function<void(bool)> written) {
-    ports_.write_record(term, "", Phase::kPromoting, std::move(written));
-  };
-  ports.done = [this](std::int64_t term, const std::string& primary) {
-    OnPromoted(term, primary);
+    ports_.write_record(term, "", Phase::kPromoting, history_.ToRecord(),
+                        std::move(written));
   };
+  ports.done = [this](std::int64_t term, const std::string& primary,
+                      LogPlace end) { OnPromoted(term, primary, end); };
   ports.failed = [this] { ports_.fenced_out(); };
   return ports;
 }
 
-void GroupLeader::OnPromoted(std::int64_t term, const std::string& primary) {
+void GroupLeader::OnPromoted(std::int64_t term,
+                             const std::string& primary,
+                             LogPlace end) {
+  if (end.term > 1 && !history_.Knows(end.term)) {
+    // An owner that died before it wrote the record may have served this term.
+    history_.NoteUnknown(end.term);
+  }
+  history_.Note(term, end.position + 1);
   SetPrimary(term, primary);
   for (auto& [name, member] : members_) {
     if (name != primary) {
@@ -352,7 +382,8 @@
 }
 
 void GroupLeader::CommitRecord() {
-  ports_.write_record(term_, primary_, Phase::kServing, [](bool) {});
+  ports_.write_record(term_, primary_, Phase::kServing, history_.ToRecord(),
+                      [](bool) {});
 }
 
 // ----------------------------------------------------------------- events
--- a/kingcuplock/owner/group_leader.h
+++ b/kingcuplock/owner/group_leader.h
@@ -25,6 +25,7 @@
 #include "kingcuplock/schema/manifest.h"
 #include "kingcuplock/schema/messages.h"
 #include "kingcuplock/schema/settings.h"
+#include "kingcuplock/session/term_history.h"
 
 namespace kingcuplock {
 
@@ -44,10 +45,11 @@
 struct LeaderPorts {
   /// Returns whether the instance's lease is valid.
   std::function<bool()> lease_is_valid;
-  /// Writes term, primary and phase to the ownership record.
+  /// Writes term, primary, phase and starts of terms to the ownership record.
   std::function<void(std::int64_t term,
                      const std::string& primary,
                      Phase phase,
+                     const std::vector<TermStart>& term_starts,
                      std::function<void(bool)>)>
       write_record;
   /// Writes are open.
@@ -112,8 +114,21 @@
   /// Returns the last log place that a member told.
   auto PlaceOf(const std::string& member) const -> LogPlace;
 
-  /// Returns the tracker of ages, fed by every sample of the primary.
-  auto ages() -> AgeTracker& { return ages_; }
+  /// Returns whether the member answered a sample lately.
+  auto Responds(const std::string& member) const -> bool;
+
+  /// Returns the tracker of ages, fed by NotePrimaryPlace().
+  auto ages() const -> const AgeTracker& { return ages_; }
+
+  /// Notes that the primary's log ended at `place` or before at `asked`, if it
+  /// is sure that it was the primary then.
+  void NotePrimaryPlace(Time asked, LogPlace place);
+
+  /// Returns the furthest place that a primary told under this owner.
+  auto PrimaryPlace() const -> LogPlace { return primary_place_; }
+
+  /// Returns where terms began, to tell what a failover lost.
+  auto history() const -> const TermHistory& { return history_; }
 
   /// Handle an event; return false if the connection is not this leader's.
   auto OnOpened(ConnectionId connection) -> bool;
@@ -124,6 +139,7 @@
   struct Member {
     std::unique_ptr<MemberWatch> watch;
     LogPlace place;
+    std::optional<Time> sampled;
     std::int64_t follows = 0;
     std::optional<Time> last_follow_order;
   };
@@ -145,7 +161,7 @@
   void OnFenceRaised(std::int64_t term, const MemberAnswer* answer);
   void TryOpen();
   auto MakePromotionPorts() -> PromotionPorts;
-  void OnPromoted(std::int64_t term, const std::string& primary);
+  void OnPromoted(std::int64_t term, const std::string& primary, LogPlace end);
   void CommitRecord();
   void ReportGap();
 
@@ -165,6 +181,8 @@
   std::optional<LogPlace> acknowledged_;
   std::optional<LogPlace> fence_;
   AgeTracker ages_;
+  TermHistory history_;
+  LogPlace primary_place_;
   std::unique_ptr<Promotion> promotion_;
   std::unique_ptr<Promotion> retired_promotion_;
   std::optional<FailoverGap> gap_;
--- a/kingcuplock/owner/replica_reader.cc
+++ b/kingcuplock/owner/replica_reader.cc
@@ -1,14 +1,18 @@
 #include "kingcuplock/owner/replica_reader.h"
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace kingcuplock {
 namespace {
 
 /// Longest time in ms that one statement may take at a replica.
 constexpr Milliseconds kStatementTimeout{1000};
-/// Part of the stated age in ms that must be left when a read is sent.
-constexpr Milliseconds kAgeSlack{5};
+/// Longest wait in ms for a slot before the read goes to the primary.
+constexpr Milliseconds kMaxSlotWait{250};
+/// Longest wait in ms for a replica that is behind the session.
+constexpr Milliseconds kMaxCatchUpWait{30};
 
 }  // namespace
 
@@ -25,15 +29,51 @@
       finish_(std::move(finish)),
       elsewhere_(std::move(elsewhere)) {}
 
-auto ReplicaReader::MayServe(const std::string& member,
-                             const OwnerRequest& request) const -> bool {
+ReplicaReader::~ReplicaReader() {
+  Clear();
+}
+
+// ----------------------------------------------------------------- choice
+
+auto ReplicaReader::NeedOf(const OwnerRequest& request) const -> ReadNeed {
+  return {request.token.PlaceIn(config_.name),
+          Milliseconds(request.kind.max_age_ms)};
+}
+
+auto ReplicaReader::Check() const -> ReadCheck<> {
+  return {leader_.ages(), leader_.history(), leader_.term()};
+}
+
+auto ReplicaReader::ChanceAt(const std::string& member,
+                             const OwnerRequest& request) const -> Chance {
+  if (member == leader_.primary() || !leader_.Responds(member)) {
+    return Chance::kNone;
+  }
+  const auto need = NeedOf(request);
   const auto place = leader_.PlaceOf(member);
-  if (member == leader_.primary() ||
-      place < request.token.PlaceIn(config_.name)) {
-    return false;
+  const auto now = timers_.Now();
+  if (Check().MayTry(need, place, now)) {
+    return pools_.at(member)->HasFree() ? Chance::kNow : Chance::kBusy;
   }
-  const auto age = leader_.ages().AgeAt(place, timers_.Now());
-  return age && *age + kAgeSlack <= Milliseconds(request.kind.max_age_ms);
+  // No replica will ever reach a forged place.
+  const auto is_reachable = need.seen <= leader_.PrimaryPlace();
+  return is_reachable && Check().MayTrySoon(need, place, now) ? Chance::kSoon
+                                                              : Chance::kNone;
+}
+
+auto ReplicaReader::BestChance(const OwnerRequest& request,
+                               std::string& member) const -> Chance {
+  auto best = Chance::kNone;
+  for (const auto& [name, pool] : pools_) {
+    const auto chance = ChanceAt(name, request);
+    const auto less_loaded = chance == best && !member.empty() &&
+                             pool->Running() < pools_.at(member)->Running();
+    if (chance > best || less_loaded) {
+      best = chance;
+      member = name;
+    }
+  }
+  return best;
 }
 
 auto ReplicaReader::TryServe(const RequestPtr& request) -> bool {
@@ -42,81 +82,146 @@
   if (!may_be_stale) {
     return false;
   }
-  ConnectionPool* best = nullptr;
-  auto some_busy = false;
-  for (const auto& [name, pool] : pools_) {
-    if (!MayServe(name, *request)) {
+  std::string member;
+  const auto chance = BestChance(*request, member);
+  if (chance == Chance::kNow) {
+    Run(member, request);
+  } else if (chance != Chance::kNone) {
+    Wait(request, chance);
+  }
+  return chance != Chance::kNone;
+}
+
+// ---------------------------------------------------------------- waiting
+
+void ReplicaReader::Wait(const RequestPtr& request, Chance chance) {
+  const Duration longest =
+      chance == Chance::kBusy ? kMaxSlotWait : kMaxCatchUpWait;
+  const auto timer =
+      timers_.After(longest, [this, request] { GiveUp(request); });
+  const auto before =
+      std::find_if(waiting_.begin(), waiting_.end(), [&](const auto& it) {
+        return it.request->kind.priority > request->kind.priority;
+      });
+  waiting_.insert(before, {request, timers_.Now() + longest, timer, chance});
+}
+
+void ReplicaReader::GiveUp(const RequestPtr& request) {
+  Forget(request);
+  if (!request->answered) {
+    elsewhere_(request);
+  }
+}
+
+void ReplicaReader::Pump() {
+  LookAgain(Chance::kBusy);
+}
+
+void ReplicaReader::OnSampled() {
+  TakeBackSilent();
+  LookAgain(Chance::kSoon);
+}
+
+void ReplicaReader::LookAgain(Chance least) {
+  std::vector<RequestPtr> hopeless;
+  std::string member;
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    member.clear();
+    const auto chance =
+        it->chance < least ? it->chance : BestChance(*it->request, member);
+    if (chance == Chance::kNow || chance == Chance::kNone) {
+      const auto request = it->request;
+      timers_.Cancel(it->timer);
+      it = waiting_.erase(it);
+      if (chance == Chance::kNow) {
+        Run(member, request);
+      } else {
+        hopeless.push_back(request);
+      }
       continue;
     }
-    if (!pool->HasFree()) {
-      some_busy = true;
-    } else if (best == nullptr || pool->Running() < best->Running()) {
-      best = pool.get();
+    it->chance = chance;
+    const auto slots_are_full =
+        least == Chance::kBusy && chance == Chance::kBusy;
+    if (slots_are_full) {
+      break;
     }
+    ++it;
   }
-  if (best != nullptr) {
-    Run(best->member().name, request);
-    return true;
+  for (const auto& request : hopeless) {
+    elsewhere_(request);
   }
-  if (some_busy) {
-    queue_.Push(request->kind.priority, request);
+}
+
+void ReplicaReader::Forget(const RequestPtr& request) {
+  const auto it =
+      std::find_if(waiting_.begin(), waiting_.end(),
+                   [&](const auto& entry) { return entry.request == request; });
+  if (it != waiting_.end()) {
+    timers_.Cancel(it->timer);
+    waiting_.erase(it);
   }
-  return some_busy;
 }
 
+void ReplicaReader::Clear() {
+  for (const auto& it : waiting_) {
+    timers_.Cancel(it.timer);
+  }
+  waiting_.clear();
+}
+
+// ---------------------------------------------------------------- reading
+
 void ReplicaReader::Run(const std::string& member, const RequestPtr& request) {
   MemberRequest read;
   read.op = MemberOp::kRead;
   read.statements = request->request.statements;
+  auto attempt = std::make_shared<Attempt>(Attempt{request, member});
+  attempts_.push_back(attempt);
   pools_.at(member)->Run(std::move(read), kStatementTimeout,
-                         [this, request, member](const MemberAnswer* answer) {
-                           OnAnswer(request, member, answer);
+                         [this, attempt](const MemberAnswer* answer) {
+                           OnAnswer(attempt, answer);
                          });
 }
 
-auto ReplicaReader::Fits(const OwnerRequest& request,
-                         const MemberAnswer& answer) const -> bool {
-  const LogPlace place{answer.entry_term, answer.position};
-  const auto age = leader_.ages().AgeAt(place, timers_.Now());
-  return answer.status == MemberStatus::kDone &&
-         place >= request.token.PlaceIn(config_.name) && age &&
-         *age <= Milliseconds(request.kind.max_age_ms);
-}
-
-void ReplicaReader::OnAnswer(const RequestPtr& request,
-                             const std::string& member,
+void ReplicaReader::OnAnswer(const AttemptPtr& attempt,
                              const MemberAnswer* answer) {
+  if (attempt->abandoned) {
+    return;
+  }
+  std::erase(attempts_, attempt);
+  const auto& request = attempt->request;
   if (request->answered) {
     return;
   }
-  if (answer != nullptr && Fits(*request, *answer)) {
-    finish_(request, BuildAnswer(*request, *answer, member, true));
+  const auto fits =
+      answer != nullptr && answer->status == MemberStatus::kDone &&
+      Check().Fits(NeedOf(*request), {answer->entry_term, answer->position},
+                   timers_.Now());
+  if (fits) {
+    finish_(request, BuildAnswer(*request, *answer, attempt->member, true));
     return;
   }
-  elsewhere_(request);
+  const auto lost = answer == nullptr;
+  if (!lost || !TryServe(request)) {
+    elsewhere_(request);
+  }
 }
 
-void ReplicaReader::Pump() {
-  for (auto n = queue_.Size(); n > 0; --n) {
-    const auto next = queue_.Pop();
-    if (!next) {
-      return;
+void ReplicaReader::TakeBackSilent() {
+  std::vector<AttemptPtr> silent;
+  for (const auto& it : attempts_) {
+    if (!leader_.Responds(it->member)) {
+      silent.push_back(it);
     }
-    const auto waiting = queue_.Size();
-    if (!TryServe(*next)) {
-      elsewhere_(*next);
-    } else if (queue_.Size() > waiting) {
-      return;
+  }
+  for (const auto& it : silent) {
+    it->abandoned = true;
+    std::erase(attempts_, it);
+    if (!it->request->answered && !TryServe(it->request)) {
+      elsewhere_(it->request);
     }
   }
 }
 
-void ReplicaReader::Forget(const RequestPtr& request) {
-  queue_.Remove(request);
-}
-
-void ReplicaReader::Clear() {
-  queue_.Clear();
-}
-
 }  // namespace kingcuplock
--- a/kingcuplock/owner/replica_reader.h
+++ b/kingcuplock/owner/replica_reader.h
@@ -8,13 +8,15 @@
 ///   if (!reader.TryServe(request)) { runner.Enqueue(request); }
 
 #include <functional>
+#include <list>
+#include <memory>
 #include <string>
 
-#include "kingcuplock/admission/request_queue.h"
 #include "kingcuplock/base/timer_service.h"
 #include "kingcuplock/owner/group_leader.h"
 #include "kingcuplock/owner/owner_request.h"
 #include "kingcuplock/owner/request_runner.h"
+#include "kingcuplock/routing/read_check.h"
 #include "kingcuplock/schema/manifest.h"
 
 namespace kingcuplock {
@@ -29,13 +31,21 @@
                 TimerService& timers,
                 FinishCallback finish,
                 std::function<void(const RequestPtr&)> elsewhere);
+  ~ReplicaReader();
+  ReplicaReader(const ReplicaReader&) = delete;
+  auto operator=(const ReplicaReader&) -> ReplicaReader& = delete;
 
-  /// Takes a request if some replica may serve it, now or when a slot is free.
+  /// Takes a request if some replica may serve it, now or soon: when a slot is
+  /// free, or when the replica has caught up with the session. O(members).
   auto TryServe(const RequestPtr& request) -> bool;
 
-  /// Sends what waits for a slot.
+  /// Sends what waits for a slot. O(requests sent or given up).
   void Pump();
 
+  /// Looks again at what waits, and takes reads back from members that do not
+  /// respond. To be called after every sample. O(requests waiting).
+  void OnSampled();
+
   /// Forgets a request that waits.
   void Forget(const RequestPtr& request);
 
@@ -43,14 +53,35 @@
   void Clear();
 
  private:
-  auto MayServe(const std::string& member, const OwnerRequest& request) const
-      -> bool;
+  /// What a replica can do for a request.
+  enum class Chance { kNone, kSoon, kBusy, kNow };
+  /// One read at one replica.
+  struct Attempt {
+    RequestPtr request;
+    std::string member;
+    bool abandoned = false;
+  };
+  using AttemptPtr = std::shared_ptr<Attempt>;
+  /// A request that waits for a slot or for a replica to catch up.
+  struct Waiting {
+    RequestPtr request;
+    Time until{};
+    TimerId timer = 0;
+    Chance chance = Chance::kNone;
+  };
+
+  auto NeedOf(const OwnerRequest& request) const -> ReadNeed;
+  auto Check() const -> ReadCheck<>;
+  auto ChanceAt(const std::string& member, const OwnerRequest& request) const
+      -> Chance;
+  auto BestChance(const OwnerRequest& request, std::string& member) const
+      -> Chance;
+  void Wait(const RequestPtr& request, Chance chance);
+  void LookAgain(Chance least);
+  void GiveUp(const RequestPtr& request);
   void Run(const std::string& member, const RequestPtr& request);
-  void OnAnswer(const RequestPtr& request,
-                const std::string& member,
-                const MemberAnswer* answer);
-  auto Fits(const OwnerRequest& request, const MemberAnswer& answer) const
-      -> bool;
+  void OnAnswer(const AttemptPtr& attempt, const MemberAnswer* answer);
+  void TakeBackSilent();
 
   const DatabaseConfig& config_;
   GroupLeader& leader_;
@@ -58,7 +89,8 @@
   TimerService& timers_;
   FinishCallback finish_;
   std::function<void(const RequestPtr&)> elsewhere_;
-  RequestQueue<RequestPtr> queue_;
+  std::list<Waiting> waiting_;
+  std::list<AttemptPtr> attempts_;
 };
 
 }  // namespace kingcuplock
--- a/kingcuplock/owner/request_runner.cc
+++ b/kingcuplock/owner/request_runner.cc
@@ -67,7 +67,24 @@
   }
 }
 
+auto RequestRunner::RefuseLost(const RequestPtr& request) -> bool {
+  const auto seen = request->token.PlaceIn(config_.name);
+  const auto is_read = request->kind.access == Access::kRead;
+  const auto from_nowhere =
+      is_read && seen.term > leader_.term() && leader_.LeaseIsValid();
+  const auto lost = leader_.history().IsLost(seen) || from_nowhere;
+  // A write in doubt is resolved first; its answer keeps the token.
+  if (!lost || (!is_read && request->in_doubt)) {
+    return false;
+  }
+  finish_(request, Refusal(request->request.id, ErrorKind::kPositionLost, 0));
+  return true;
+}
+
 void RequestRunner::Run(const RequestPtr& request) {
+  if (RefuseLost(request)) {
+    return;
+  }
   MemberRequest call;
   call.op = MemberOp::kRead;
   call.statements = request->request.statements;
@@ -109,7 +126,7 @@
     OnRefusedByMember(request, *answer);
     return;
   }
-  leader_.ages().AddSample(sent, {answer->entry_term, answer->position});
+  leader_.NotePrimaryPlace(sent, {answer->entry_term, answer->position});
   Confirm(request, *answer);
 }
 
@@ -155,14 +172,23 @@
                             const MemberAnswer& answer) {
   const auto is_write = request->kind.access == Access::kWrite;
   const LogPlace place{answer.entry_term, answer.position};
-  if (!is_write && place < request->token.PlaceIn(config_.name)) {
-    finish_(request, Failure(request->request.id, ErrorKind::kPositionLost));
+  const auto seen = request->token.PlaceIn(config_.name);
+  if (!is_write && seen.term > leader_.term()) {
+    // Only an owner without a lease comes here: it may not be the owner.
+    finish_(request, Refusal(request->request.id, ErrorKind::kNotOwner, 0));
+    return;
+  }
+  if (!is_write && place < seen) {
+    finish_(request, Refusal(request->request.id, ErrorKind::kPositionLost, 0));
     return;
   }
+  auto built = BuildAnswer(*request, answer, leader_.primary(), false);
+  if (leader_.history().IsLost(seen)) {
+    built.token = request->token.Format();
+  }
   request->in_doubt = true;
   unconfirmed_.push_back(
-      {request, BuildAnswer(*request, answer, leader_.primary(), false),
-       answer.position, timers_.Now(), is_write});
+      {request, std::move(built), answer.position, timers_.Now(), is_write});
   AcknowledgeReady();
 }
 
--- a/kingcuplock/owner/request_runner.h
+++ b/kingcuplock/owner/request_runner.h
@@ -83,6 +83,7 @@
   };
 
   auto PrimaryPool() -> ConnectionPool*;
+  auto RefuseLost(const RequestPtr& request) -> bool;
   void Run(const RequestPtr& request);
   void OnAnswer(const RequestPtr& request,
                 std::int64_t term,
--- a/kingcuplock/ownership/ownership_keeper.cc
+++ b/kingcuplock/ownership/ownership_keeper.cc
@@ -162,6 +162,7 @@
                             std::int64_t term,
                             const std::string& primary,
                             Phase phase,
+                            const std::vector<TermStart>& term_starts,
                             WriteCallback callback) {
   const auto it = entries_.find(database);
   if (it == entries_.end() || !it->second.owned || it->second.writing) {
@@ -172,6 +173,7 @@
   next.term = term;
   next.primary = primary;
   next.phase = phase;
+  next.term_starts = term_starts;
   it->second.writing = true;
   Swap(database, std::move(next), std::move(callback));
 }
--- a/kingcuplock/ownership/ownership_keeper.h
+++ b/kingcuplock/ownership/ownership_keeper.h
@@ -67,6 +67,7 @@
              std::int64_t term,
              const std::string& primary,
              Phase phase,
+             const std::vector<TermStart>& term_starts,
              WriteCallback callback);
 
   /// Gives an owned database up so that a successor takes it at once.
--- /dev/null
+++ b/kingcuplock/routing/age_tracker_test.cc
@@ -0,0 +1,107 @@
+#include "kingcuplock/routing/age_tracker.h"
+
+#include <algorithm>
+#include <vector>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+namespace kingcuplock {
+namespace {
+
+/// Times in ms of a run: long enough for every delay to overlap others.
+constexpr int kRunMs = 3000;
+constexpr int kMaxDelayMs = 200;
+
+/// A sample of the primary on its way: asked, read at the primary, arrived.
+struct Flight {
+  int asked = 0;
+  int read = 0;
+  int arrived = 0;
+};
+
+/// A primary's log that grows at given true times, over two terms.
+struct TrueLog {
+  std::vector<int> commits;
+  int second_term_from = 0;
+
+  auto EndAt(int time) const -> LogPlace {
+    const auto end = std::upper_bound(commits.begin(), commits.end(), time);
+    const auto position = end - commits.begin();
+    return {position > second_term_from ? 2 : 1, position};
+  }
+
+  /// Age in ms, at `time`, of a copy that ends at `place`.
+  auto AgeOf(LogPlace place, int time) const -> int {
+    const auto next = static_cast<std::size_t>(place.position);
+    return next < commits.size() ? std::max(0, time - commits[next]) : 0;
+  }
+};
+
+auto AnyLog() -> TrueLog {
+  auto commits =
+      *rc::gen::container<std::vector<int>>(60, rc::gen::inRange(0, kRunMs));
+  std::sort(commits.begin(), commits.end());
+  return {commits, *rc::gen::inRange(0, 60)};
+}
+
+auto AnyFlights() -> std::vector<Flight> {
+  std::vector<Flight> flights;
+  for (auto at = 0; at < kRunMs; at += *rc::gen::inRange(10, 400)) {
+    const auto read = at + *rc::gen::inRange(0, kMaxDelayMs);
+    flights.push_back({at, read, read + *rc::gen::inRange(0, kMaxDelayMs)});
+  }
+  std::sort(flights.begin(), flights.end(),
+            [](const auto& a, const auto& b) { return a.arrived < b.arrived; });
+  return flights;
+}
+
+/// Returns by how many ms the bound was below the true age, at worst. The
+/// instance's clock is off by a constant.
+template <bool kCountFromAsking>
+auto WorstShortfall() -> int {
+  const auto log = AnyLog();
+  const auto offset = *rc::gen::inRange(-100'000, 100'000);
+  const auto clock = [&](int time) {
+    return Time(Milliseconds(time + offset + 1'000'000));
+  };
+  AgeTracker ages;
+  auto worst = -kRunMs;
+  for (const auto& it : AnyFlights()) {
+    ages.AddSample(clock(kCountFromAsking ? it.asked : it.arrived),
+                   log.EndAt(it.read));
+    const auto replica_at = *rc::gen::inRange(0, it.arrived + 1);
+    const auto place = log.EndAt(replica_at);
+    const auto asked_at = it.arrived + *rc::gen::inRange(0, kMaxDelayMs);
+    if (const auto bound = ages.AgeAt(place, clock(asked_at))) {
+      const auto bound_ms =
+          std::chrono::duration_cast<Milliseconds>(*bound).count();
+      worst = std::max(worst,
+                       log.AgeOf(place, asked_at) - static_cast<int>(bound_ms));
+    }
+  }
+  return worst;
+}
+
+TEST_CASE(
+    "The bound is never below the true age under delays, clock offsets, lag "
+    "and reordered samples") {
+  CHECK(rc::check([] { RC_ASSERT(WorstShortfall<true>() <= 0); }));
+}
+
+TEST_CASE("Counting from a sample's arrival would break the bound") {
+  auto broken = 0;
+  rc::check([&] { broken += WorstShortfall<false>() > 0 ? 1 : 0; });
+  CHECK(broken > 0);
+}
+
+TEST_CASE("Without a sample at or before the place nothing can be told") {
+  AgeTracker ages;
+  CHECK_FALSE(ages.AgeAt({1, 5}, Time(Milliseconds(10))).has_value());
+  ages.AddSample(Time(Milliseconds(1)), {1, 6});
+  CHECK_FALSE(ages.AgeAt({1, 5}, Time(Milliseconds(10))).has_value());
+  CHECK(ages.AgeAt({1, 6}, Time(Milliseconds(10))) == Milliseconds(9));
+}
+
+}  // namespace
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/routing/read_check.h
@@ -0,0 +1,106 @@
+#pragma once
+
+/// Decides whether a member's data may answer a read: not behind its session,
+/// not lost by a failover, not older than the stated age.
+///
+/// Example:
+///   ReadCheck<> check(ages, history, term);
+///   if (check.MayTry(need, sampled_place, now)) { Send(); }
+///   if (check.Fits(need, answered_place, now)) { Answer(); }
+
+#include <concepts>
+#include <cstdint>
+
+#include "kingcuplock/base/timer_service.h"
+#include "kingcuplock/routing/age_tracker.h"
+#include "kingcuplock/session/log_place.h"
+#include "kingcuplock/session/term_history.h"
+
+namespace kingcuplock {
+
+/// What a read asks for.
+struct ReadNeed {
+  /// Newest place that the session has seen.
+  LogPlace seen;
+  /// Age that the data may have.
+  Duration max_age{};
+};
+
+/// Every rule of reads in force. Proofs switch one off to show what it
+/// prevents.
+struct AllReadRules {
+  /// A member is tried only if its last sample reached the session's place.
+  static constexpr bool kTokenAtChoice = true;
+  /// The place in the answer must have reached the session's.
+  static constexpr bool kTokenAtArrival = true;
+  /// The age is bounded again when the answer arrives.
+  static constexpr bool kAgeAtArrival = true;
+  /// Places beyond the end of their term are neither served nor satisfied.
+  static constexpr bool kLostData = true;
+};
+
+/// A policy that states every rule of reads.
+template <typename T>
+concept ReadRules = requires {
+  { T::kTokenAtChoice } -> std::convertible_to<bool>;
+  { T::kTokenAtArrival } -> std::convertible_to<bool>;
+  { T::kAgeAtArrival } -> std::convertible_to<bool>;
+  { T::kLostData } -> std::convertible_to<bool>;
+};
+
+/// Part of the stated age in ms that must be left when a read is sent.
+inline constexpr Milliseconds kReadAgeSlack{5};
+
+/// Refers to its parts; make one per decision. Not thread safe. O(log n) in
+/// samples and O(n) in terms kept.
+template <ReadRules Rules = AllReadRules>
+class ReadCheck {
+ public:
+  /// `term` is the newest term that the owner knows.
+  ReadCheck(const AgeTracker& ages,
+            const TermHistory& history,
+            std::int64_t term)
+      : ages_(ages), history_(history), term_(term) {}
+
+  /// Returns whether a read may be sent to a member last seen at `place`.
+  auto MayTry(const ReadNeed& need, LogPlace place, Time now) const -> bool {
+    return (!Rules::kTokenAtChoice || place >= need.seen) &&
+           IsCurrent(need, place) &&
+           InAge(place, need.max_age - kReadAgeSlack, now);
+  }
+
+  /// Returns whether a member that is behind the session's place could serve
+  /// the read as soon as it has caught up.
+  auto MayTrySoon(const ReadNeed& need, LogPlace place, Time now) const
+      -> bool {
+    return place < need.seen && need.seen.term <= term_ &&
+           IsCurrent(need, place) &&
+           InAge(place, need.max_age - kReadAgeSlack, now);
+  }
+
+  /// Returns whether an answer that reflects `place` may be given at `now`.
+  auto Fits(const ReadNeed& need, LogPlace place, Time now) const -> bool {
+    return (!Rules::kTokenAtArrival || place >= need.seen) &&
+           IsCurrent(need, place) &&
+           (!Rules::kAgeAtArrival || InAge(place, need.max_age, now));
+  }
+
+ private:
+  /// A place of a later term than known can't be judged.
+  auto IsCurrent(const ReadNeed& need, LogPlace place) const -> bool {
+    return !Rules::kLostData ||
+           (place.term <= term_ && !history_.IsLost(place) &&
+            !history_.IsLost(need.seen));
+  }
+
+  auto InAge(LogPlace place, Duration max_age, Time now) const -> bool {
+    const auto age = ages_.AgeAt(place, now);
+    return age && *age <= max_age;
+  }
+
+  const AgeTracker& ages_;
+  const TermHistory& history_;
+  std::int64_t term_;
+};
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/routing/read_check_test.cc
@@ -0,0 +1,292 @@
+#include "kingcuplock/routing/read_check.h"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "standin/database/database_group.h"
+
+namespace kingcuplock {
+namespace {
+
+constexpr int kWalks = 1500;
+constexpr int kSteps = 300;
+constexpr std::array<std::string_view, 3> kMembers{"a", "b", "c"};
+constexpr Milliseconds kMaxAge{150};
+
+/// What the walks of one policy came to.
+struct Tally {
+  /// Answers that lacked what their session had seen.
+  int behind = 0;
+  /// Answers older than stated.
+  int too_old = 0;
+  /// Answers that did not fit on arrival.
+  int wasted = 0;
+  int answered = 0;
+};
+
+/// A random walk of one group, an owner's knowledge of it and one session.
+template <ReadRules Rules>
+class Walk {
+ public:
+  explicit Walk(std::uint64_t seed) : random_(seed), group_({"a", "b", "c"}) {}
+
+  void Run(Tally& tally) {
+    for (auto n = 0; n < kSteps; ++n) {
+      now_us_ += 1000 * Pick(5);
+      Step(tally);
+    }
+  }
+
+ private:
+  /// A read that a member has answered and that has not arrived yet.
+  struct Flight {
+    MemberAnswer answer;
+    LogPlace seen_when_sent;
+  };
+
+  auto Pick(int n) -> int {
+    return std::uniform_int_distribution<int>(0, n - 1)(random_);
+  }
+  auto Now() const -> Time { return Time(Duration(now_us_)); }
+  auto Any() -> std::string_view {
+    return kMembers[static_cast<std::size_t>(Pick(3))];
+  }
+  static auto PlaceIn(const MemberAnswer& it) -> LogPlace {
+    return {it.entry_term, it.position};
+  }
+
+  void Step(Tally& tally) {
+    switch (Pick(11)) {
+      case 0:
+      case 1:
+        Write();
+        break;
+      case 2:
+        Sample(Any());
+        break;
+      case 3:
+        Sample(primary_);
+        break;
+      case 4:
+        group_.Replicate(now_us_);
+        break;
+      case 5:
+        group_.member(Any()).lag_us = 1000 * Pick(100);
+        break;
+      case 6:
+        Send(Any());
+        break;
+      case 7:
+        Send(Any());
+        break;
+      case 8:
+      case 9:
+        Arrive(tally);
+        break;
+      default:
+        if (Pick(8) == 0) {
+          Promote();
+        } else if (Pick(4) == 0) {
+          Restore(Any());
+        }
+    }
+  }
+
+  void Write() {
+    MemberRequest write;
+    write.op = MemberOp::kExecute;
+    write.statements = {{Verb::kAppend, "row", std::to_string(++writes_)}};
+    const auto answer = group_.Handle(primary_, write, now_us_);
+    if (Pick(2) == 0) {
+      See(answer, group_.member(primary_).rows.at("row"));
+    }
+  }
+
+  void See(const MemberAnswer& answer, const std::string& value) {
+    if (!Rules::kLostData || !history_.IsLost(seen_)) {
+      seen_ = std::max(seen_, PlaceIn(answer));
+      value_ = value;
+    }
+  }
+
+  void Sample(std::string_view name) {
+    MemberRequest status;
+    const auto answer = group_.Handle(name, status, now_us_);
+    places_[std::string(name)] = PlaceIn(answer);
+    if (name == primary_) {
+      ages_.AddSample(Now(), PlaceIn(answer));
+    }
+  }
+
+  /// Another member leads; what it lacks is lost.
+  void Promote() {
+    const auto candidate = Any();
+    if (candidate == primary_) {
+      return;
+    }
+    MemberRequest order;
+    order.op = MemberOp::kPromote;
+    order.term = ++term_;
+    const auto answer = group_.Handle(candidate, order, now_us_);
+    history_.Note(term_, answer.position + 1);
+    primary_ = candidate;
+    MemberRequest follow;
+    follow.op = MemberOp::kFollow;
+    follow.term = term_;
+    follow.primary = std::string(primary_);
+    for (const auto it : kMembers) {
+      group_.Handle(it, follow, now_us_);
+    }
+    MemberRequest fence;
+    fence.op = MemberOp::kRaiseEpoch;
+    group_.Handle(primary_, fence, now_us_);
+  }
+
+  /// A replica is rebuilt from an older copy of itself.
+  void Restore(std::string_view name) {
+    auto& member = group_.member(name);
+    if (name == primary_ || member.log.empty()) {
+      return;
+    }
+    member.log.resize(
+        static_cast<std::size_t>(Pick(static_cast<int>(member.log.size()))));
+    member.rows.clear();
+    for (const auto& entry : member.log) {
+      for (const auto& [key, value] : entry.rows) {
+        member.rows[key] = value.value_or("");
+      }
+    }
+  }
+
+  void Send(std::string_view name) {
+    if (Rules::kLostData && history_.IsLost(seen_)) {
+      // The session was told so and begins anew.
+      seen_ = {};
+      value_.clear();
+    }
+    const ReadCheck<Rules> check(ages_, history_, term_);
+    if (name == primary_ ||
+        !check.MayTry({seen_, kMaxAge}, places_[std::string(name)], Now())) {
+      return;
+    }
+    // Time passes on the way to the member.
+    group_.Replicate(now_us_);
+    MemberRequest read;
+    read.op = MemberOp::kRead;
+    read.statements = {{Verb::kGet, "row", ""}};
+    flights_.push_back({group_.Handle(name, read, now_us_), seen_});
+  }
+
+  void Arrive(Tally& tally) {
+    if (flights_.empty()) {
+      return;
+    }
+    const auto flight = flights_.front();
+    flights_.pop_front();
+    const ReadCheck<Rules> check(ages_, history_, term_);
+    // The session waits for this answer, so it has the token it sent.
+    const ReadNeed need{flight.seen_when_sent, kMaxAge};
+    if (!check.Fits(need, PlaceIn(flight.answer), Now())) {
+      ++tally.wasted;
+      return;
+    }
+    ++tally.answered;
+    const auto& got = flight.answer.results.at(0).value;
+    const auto same_session = flight.seen_when_sent == seen_;
+    if (same_session && !got.starts_with(value_)) {
+      ++tally.behind;
+    }
+    if (TrueAge(flight.answer) > kMaxAge) {
+      ++tally.too_old;
+    }
+    if (same_session) {
+      See(flight.answer, got);
+    }
+  }
+
+  /// Time since the primary holds an entry that the answer lacks.
+  auto TrueAge(const MemberAnswer& answer) -> Duration {
+    const auto& log = group_.member(primary_).log;
+    const auto next = static_cast<std::size_t>(answer.position);
+    return Duration(next < log.size() ? std::max<std::int64_t>(
+                                            0, now_us_ - log[next].committed_us)
+                                      : 0);
+  }
+
+  std::mt19937_64 random_;
+  DatabaseGroup group_;
+  std::int64_t now_us_ = 1'000'000;
+  std::int64_t term_ = 1;
+  int writes_ = 0;
+  std::string_view primary_ = "a";
+  std::map<std::string, LogPlace> places_;
+  AgeTracker ages_;
+  TermHistory history_;
+  LogPlace seen_;
+  std::string value_;
+  std::deque<Flight> flights_;
+};
+
+template <ReadRules Rules>
+auto RunWalks() -> Tally {
+  Tally tally;
+  for (std::uint64_t seed = 1; seed <= kWalks; ++seed) {
+    Walk<Rules>(seed).Run(tally);
+  }
+  MESSAGE("answered " << tally.answered << ", behind " << tally.behind
+                      << ", too old " << tally.too_old << ", wasted "
+                      << tally.wasted);
+  return tally;
+}
+
+struct WithoutTokenAtChoice : AllReadRules {
+  static constexpr bool kTokenAtChoice = false;
+};
+struct WithoutTokenAtArrival : AllReadRules {
+  static constexpr bool kTokenAtArrival = false;
+};
+struct WithoutTokenChecks : WithoutTokenAtChoice {
+  static constexpr bool kTokenAtArrival = false;
+};
+struct WithoutAgeAtArrival : AllReadRules {
+  static constexpr bool kAgeAtArrival = false;
+};
+struct WithoutLostData : AllReadRules {
+  static constexpr bool kLostData = false;
+};
+
+TEST_CASE("With every rule no answer is behind its session or too old") {
+  const auto tally = RunWalks<AllReadRules>();
+  CHECK(tally.answered > kWalks);
+  CHECK(tally.behind == 0);
+  CHECK(tally.too_old == 0);
+}
+
+TEST_CASE("Without the token check at choice more reads are wasted") {
+  const auto with = RunWalks<AllReadRules>();
+  const auto without = RunWalks<WithoutTokenAtChoice>();
+  CHECK(without.behind == 0);
+  CHECK(without.wasted > 2 * with.wasted);
+}
+
+TEST_CASE("Without the token check on arrival a session falls behind") {
+  CHECK(RunWalks<WithoutTokenAtArrival>().behind > 0);
+  CHECK(RunWalks<WithoutTokenChecks>().behind > 0);
+}
+
+TEST_CASE("Without the age check on arrival an answer is too old") {
+  CHECK(RunWalks<WithoutAgeAtArrival>().too_old > 0);
+}
+
+TEST_CASE("Without the check of lost places a session misses what it saw") {
+  CHECK(RunWalks<WithoutLostData>().behind > 0);
+}
+
+}  // namespace
+}  // namespace kingcuplock
--- a/kingcuplock/schema/messages.h
+++ b/kingcuplock/schema/messages.h
@@ -710,6 +710,23 @@
 /// Reads a name into `value`. Throws SchemaError for an unknown one.
 void from_json(const nlohmann::json& in, Phase& value);
 
+/// Where a term of a database group began.
+struct TermStart {
+  /// Term.
+  std::int64_t term{};
+  /// Log position of its first entry, or a lower one.
+  std::int64_t position{};
+
+  auto operator==(const TermStart&) const -> bool = default;
+};
+
+/// Writes `value` to `out`, leaving out members that have their default.
+void to_json(nlohmann::json& out, const TermStart& value);
+
+/// Reads `value`. Throws SchemaError naming the member that is missing or
+/// wrong.
+void from_json(const nlohmann::json& in, TermStart& value);
+
 /// Ownership of one database, kept in the key-value service.
 struct OwnerRecord {
   /// Raised at every change of owner.
@@ -726,6 +743,9 @@
   Phase phase{};
   /// Id of the write that set this record, to resolve lost answers.
   std::string attempt{};
+  /// Where the terms that were served began, to tell a session what a failover
+  /// lost.
+  std::vector<TermStart> term_starts{};
 
   auto operator==(const OwnerRecord&) const -> bool = default;
 };
--- /dev/null
+++ b/kingcuplock/session/term_history.cc
@@ -0,0 +1,55 @@
+#include "kingcuplock/session/term_history.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcuplock {
+namespace {
+
+/// Start of a term whose true start is not known; log positions begin here.
+constexpr std::int64_t kFirstPosition = 1;
+
+}  // namespace
+
+TermHistory::TermHistory(std::vector<TermStart> starts)
+    : starts_(std::move(starts)) {
+  std::sort(starts_.begin(), starts_.end(),
+            [](const auto& a, const auto& b) { return a.term < b.term; });
+  Merge();
+}
+
+void TermHistory::Note(std::int64_t term, std::int64_t position) {
+  const auto it = std::lower_bound(
+      starts_.begin(), starts_.end(), term,
+      [](const auto& start, auto value) { return start.term < value; });
+  if (it != starts_.end() && it->term == term) {
+    return;
+  }
+  starts_.insert(it, {term, position});
+  Merge();
+}
+
+void TermHistory::NoteUnknown(std::int64_t term) {
+  Note(term, kFirstPosition);
+}
+
+auto TermHistory::Knows(std::int64_t term) const -> bool {
+  return std::any_of(starts_.begin(), starts_.end(),
+                     [&](const auto& it) { return it.term == term; });
+}
+
+auto TermHistory::IsLost(LogPlace place) const -> bool {
+  return std::any_of(starts_.begin(), starts_.end(), [&](const auto& it) {
+    return it.term > place.term && it.position <= place.position;
+  });
+}
+
+void TermHistory::Merge() {
+  while (starts_.size() > kMaxTerms) {
+    auto& next = starts_.at(1);
+    next.position = std::min(next.position, starts_.front().position);
+    starts_.erase(starts_.begin());
+  }
+}
+
+}  // namespace kingcuplock
--- a/testing/node_fixture.cc
+++ b/testing/node_fixture.cc
@@ -46,10 +46,9 @@
     database.slots = options.slots;
     database.connections = options.connections;
     database.acknowledgement = options.acknowledgement;
-    constexpr std::int64_t kStaleAgeMs = 5000;
     database.kinds = {MakeKind("write", Access::kWrite, 0),
                       MakeKind("fresh", Access::kRead, 0),
-                      MakeKind("stale", Access::kRead, kStaleAgeMs)};
+                      MakeKind("stale", Access::kRead, options.stale_age_ms)};
     manifest.databases.push_back(std::move(database));
   }
   return manifest;
--- a/testing/node_fixture.h
+++ b/testing/node_fixture.h
@@ -45,6 +45,8 @@
   std::int64_t max_delay_us = 800;
   /// Time that a member takes for a request in microseconds.
   std::int64_t service_us = 500;
+  /// Age in ms that reads of kind "stale" accept.
+  std::int64_t stale_age_ms = 5000;
   /// Acknowledgement of every database.
   AcknowledgementMode acknowledgement = AcknowledgementMode::kReplicated;
 };
@@ -137,6 +139,7 @@
   auto OwnerOf(const std::string& database) -> std::size_t;
   auto StatusOf(std::size_t node) -> InstanceStatus;
   auto nodes() const -> std::size_t { return nodes_.size(); }
+  auto IsAlive(std::size_t node) const -> bool { return nodes_[node].alive; }
   auto Now() const -> Time { return now_; }
   auto random() -> std::mt19937_64& { return random_; }
 
