--- /dev/null
+++ b/kingcuplock/admission/admission_queue_test.cc
@@ -0,0 +1,122 @@
+#include "kingcuplock/admission/admission_queue.h"
+
+#include <set>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "kingcuplock/admission/connection_budget.h"
+#include "kingcuplock/admission/retry_after.h"
+#include "kingcuplock/admission/retry_budget.h"
+
+namespace kingcuplock {
+namespace {
+
+const Time kNow{Milliseconds(1000)};
+const Time kLater = kNow + Milliseconds(1000);
+
+auto TakeAll(AdmissionQueue<int>& queue) -> std::vector<int> {
+  std::vector<int> out;
+  std::vector<QueuedItem<int>> late;
+  while (const auto it = queue.Pop(kNow, late)) {
+    out.push_back(it->item);
+  }
+  return out;
+}
+
+TEST_CASE("The most urgent goes first and callers take turns") {
+  AdmissionQueue<int> queue(10, 1);
+  queue.Push({5, 1, kLater, 1}, kNow);
+  queue.Push({5, 1, kLater, 2}, kNow);
+  queue.Push({5, 1, kLater, 3}, kNow);
+  queue.Push({5, 2, kLater, 4}, kNow);
+  queue.Push({0, 3, kLater, 5}, kNow);
+  CHECK(TakeAll(queue) == std::vector{5, 1, 4, 2, 3});
+}
+
+TEST_CASE("A full queue sheds the least urgent of the busiest caller") {
+  AdmissionQueue<int> queue(3, 1);
+  queue.Push({5, 1, kLater, 1}, kNow);
+  queue.Push({5, 2, kLater, 2}, kNow);
+  queue.Push({5, 1, kLater, 3}, kNow);
+  const auto shed = queue.Push({0, 9, kLater, 4}, kNow);
+  REQUIRE(shed.size() == 1);
+  CHECK(shed.front().item == 3);
+  CHECK(TakeAll(queue) == std::vector{4, 1, 2});
+}
+
+TEST_CASE("What can't be served by its deadline is handed back at once") {
+  AdmissionQueue<int> queue(100, 1);
+  for (auto n = 0; n < 200; ++n) {
+    queue.NoteService(Milliseconds(10));
+  }
+  const auto deadline = kNow + Milliseconds(35);
+  CHECK(queue.Push({5, 1, deadline, 1}, kNow).empty());
+  CHECK(queue.Push({5, 1, deadline, 2}, kNow).empty());
+  CHECK(queue.Push({5, 1, deadline, 3}, kNow).empty());
+  CHECK(queue.Push({5, 1, deadline, 4}, kNow).size() == 1);
+  std::vector<QueuedItem<int>> late;
+  CHECK_FALSE(queue.Pop(kNow + Milliseconds(30), late));
+  CHECK(late.size() == 3);
+}
+
+TEST_CASE("No item is lost or doubled whatever the order of operations") {
+  CHECK(rc::check([](const std::vector<std::uint8_t>& steps) {
+    AdmissionQueue<int> queue(5, 1);
+    std::multiset<int> inside;
+    std::vector<QueuedItem<int>> late;
+    auto item = 0;
+    for (const auto it : steps) {
+      if (it % 3 != 0) {
+        inside.insert(++item);
+        const auto entry =
+            QueuedItem<int>{it % 4, std::uint64_t{it} % 7, kLater, item};
+        for (const auto& shed : queue.Push(entry, kNow)) {
+          RC_ASSERT(inside.erase(shed.item) == 1);
+        }
+      } else if (it % 2 == 0) {
+        const auto removed = queue.Remove(item);
+        RC_ASSERT(removed == (inside.erase(item) == 1));
+      } else if (const auto next = queue.Pop(kNow, late)) {
+        RC_ASSERT(inside.erase(next->item) == 1);
+      }
+      RC_ASSERT(queue.Size() == inside.size());
+      RC_ASSERT(queue.Size() <= 5);
+    }
+  }));
+}
+
+TEST_CASE("Refused callers are told different times") {
+  RetryAfter retry_after(1);
+  std::set<std::int64_t> times;
+  for (auto n = 0; n < 1000; ++n) {
+    const auto ms = retry_after.Ms(Milliseconds(500));
+    CHECK(ms >= 500);
+    CHECK(ms <= 1000);
+    times.insert(ms);
+  }
+  CHECK(times.size() > 300);
+}
+
+TEST_CASE("Retries are bounded to a share of the requests") {
+  RetryBudget budget;
+  auto retries = 0;
+  for (auto n = 0; n < 1000; ++n) {
+    budget.NoteRequest();
+    retries += budget.TryTake() ? 1 : 0;
+  }
+  CHECK(retries <= 150);
+  CHECK(retries >= 100);
+}
+
+TEST_CASE("Two owners and their control links fit the sizes of the brief") {
+  for (const std::int64_t connections : {16, 50}) {
+    CHECK(2 * (OwnerPoolConnections(connections) + kControlConnections) <=
+          connections);
+  }
+  CHECK(OwnerPoolConnections(16) > 2);
+  CHECK(OwnerPoolConnections(50) > 5);
+}
+
+}  // namespace
+}  // namespace kingcuplock
--- a/kingcuplock/base/timer_service.h
+++ b/kingcuplock/base/timer_service.h
@@ -33,6 +33,20 @@
   /// Returns the time of the last AdvanceTo().
   auto Now() const -> Time { return now_; }
 
+  /// Tells the wall clock's Unix time at Now(); it moves on with Now().
+  void SetWallTime(Milliseconds unix_time) {
+    wall_offset_ = unix_time - now_.time_since_epoch();
+  }
+
+  /// Returns the Unix time, nullopt while nobody told it. It may jump.
+  auto WallTime() const -> std::optional<Milliseconds> {
+    if (!wall_offset_) {
+      return std::nullopt;
+    }
+    return std::chrono::floor<Milliseconds>(now_.time_since_epoch() +
+                                            *wall_offset_);
+  }
+
   /// Calls `callback` once when the time reaches Now() + `delay`.
   auto After(Duration delay, std::function<void()> callback) -> TimerId;
 
@@ -50,6 +64,7 @@
   using Key = std::pair<Time, TimerId>;
 
   Time now_;
+  std::optional<Duration> wall_offset_;
   TimerId last_id_ = 0;
   std::map<Key, std::function<void()>> pending_;
   std::unordered_map<TimerId, Time> due_;
--- a/kingcuplock/endpoint/connection_pool.cc
+++ b/kingcuplock/endpoint/connection_pool.cc
@@ -18,11 +18,13 @@
 ConnectionPool::ConnectionPool(MemberConfig member,
                                PoolLimits limits,
                                TimerService& timers,
-                               Outbox& outbox)
+                               Outbox& outbox,
+                               PoolGuards guards)
     : member_(std::move(member)),
       limits_(limits),
       timers_(timers),
-      outbox_(outbox) {}
+      outbox_(outbox),
+      guards_(guards) {}
 
 ConnectionPool::~ConnectionPool() {
   timers_.Cancel(retry_timer_);
@@ -34,13 +36,9 @@
 
 void ConnectionPool::Warm() {
   const auto wanted = std::min(limits_.connections, limits_.slots + kSpares);
-  const auto usable = std::count_if(
-      connections_.begin(), connections_.end(), [](const auto& it) {
-        return it.second.state != State::kPinned &&
-               it.second.state != State::kPinnedBusy;
-      });
-  const auto room =
-      limits_.connections - static_cast<std::int64_t>(connections_.size());
+  const auto open = static_cast<std::int64_t>(connections_.size());
+  const auto usable = open - CountPinned();
+  const auto room = limits_.connections - open;
   for (auto n = std::min(wanted - usable, room); n > 0; --n) {
     OpenOne();
   }
@@ -51,7 +49,16 @@
 }
 
 auto ConnectionPool::HasFreeToPin() const -> bool {
-  return FindIdle() != 0;
+  const auto for_transactions = limits_.connections - limits_.slots - kSpares;
+  return FindIdle() != 0 && CountPinned() < for_transactions;
+}
+
+auto ConnectionPool::CountPinned() const -> std::int64_t {
+  return std::count_if(connections_.begin(), connections_.end(),
+                       [](const auto& it) {
+                         return it.second.state == State::kPinned ||
+                                it.second.state == State::kPinnedBusy;
+                       });
 }
 
 void ConnectionPool::Run(MemberRequest request,
@@ -110,6 +117,7 @@
     return false;
   }
   it->second.state = State::kIdle;
+  it->second.last_heard = timers_.Now();
   NotifyFree();
   return true;
 }
@@ -130,10 +138,14 @@
   }
   const auto busy = it->second.state == State::kBusy ||
                     it->second.state == State::kPinnedBusy;
-  if (!busy || it->second.request_id != answer.id) {
+  const auto expected = busy && it->second.request_id == answer.id;
+  if (!expected && guards_.close_in_doubt) {
     Drop(connection);
     return true;
   }
+  if (!busy) {
+    return true;
+  }
   Finish(connection, &answer);
   return true;
 }
@@ -160,7 +172,8 @@
   connection.state = state;
   connection.request_id = request.id;
   connection.callback = std::move(callback);
-  connection.timer = timers_.After(timeout, [this, id] { Drop(id); });
+  connection.sent = timers_.Now();
+  connection.timer = timers_.After(timeout, [this, id] { GiveUp(id); });
   ++running_;
   outbox_.Send(id, std::move(request));
 }
@@ -169,6 +182,7 @@
   auto& connection = connections_.at(id);
   timers_.Cancel(connection.timer);
   connection.timer = 0;
+  connection.last_heard = timers_.Now();
   --running_;
   connection.state =
       connection.state == State::kBusy ? State::kIdle : State::kPinned;
@@ -177,6 +191,29 @@
   NotifyFree();
 }
 
+void ConnectionPool::GiveUp(ConnectionId id) {
+  if (!guards_.close_in_doubt) {
+    Finish(id, nullptr);
+    return;
+  }
+  DropIdleNotHeardSince(connections_.at(id).sent);
+  Drop(id);
+}
+
+// What made one connection silent may have done so to others: fresh ones are
+// opened in their place, so that the next request does not wait as long.
+void ConnectionPool::DropIdleNotHeardSince(Time time) {
+  std::vector<ConnectionId> silent;
+  for (const auto& [id, connection] : connections_) {
+    if (connection.state == State::kIdle && connection.last_heard < time) {
+      silent.push_back(id);
+    }
+  }
+  for (const auto it : silent) {
+    Drop(it);
+  }
+}
+
 void ConnectionPool::Drop(ConnectionId id) {
   auto node = connections_.extract(id);
   if (node.empty()) {
--- a/kingcuplock/endpoint/connection_pool.h
+++ b/kingcuplock/endpoint/connection_pool.h
@@ -29,13 +29,20 @@
   std::int64_t slots = 1;
 };
 
+/// Guards of a pool, switched off only to show in a test what they are for.
+struct PoolGuards {
+  /// A connection with an answer outstanding or unexpected is closed.
+  bool close_in_doubt = true;
+};
+
 /// Not thread safe.
 class ConnectionPool {
  public:
   ConnectionPool(MemberConfig member,
                  PoolLimits limits,
                  TimerService& timers,
-                 Outbox& outbox);
+                 Outbox& outbox,
+                 PoolGuards guards = {});
   ~ConnectionPool();
   ConnectionPool(const ConnectionPool&) = delete;
   auto operator=(const ConnectionPool&) -> ConnectionPool& = delete;
@@ -46,7 +53,11 @@
   /// Returns whether Run() may be called now.
   auto HasFree() const -> bool;
 
-  /// Returns whether a connection could be pinned now.
+  /// Returns whether a statement may be sent on a pinned connection now.
+  auto HasSlot() const -> bool { return running_ < limits_.slots; }
+
+  /// Returns whether a connection could be pinned now; one per slot and a
+  /// spare are always left for single requests.
   auto HasFreeToPin() const -> bool;
 
   /// Runs one request on a free connection. Calls back with nullptr, and
@@ -98,8 +109,11 @@
     std::int64_t request_id = 0;
     MemberCallback callback;
     TimerId timer = 0;
+    Time sent{};
+    Time last_heard{};
   };
 
+  auto CountPinned() const -> std::int64_t;
   auto FindIdle() const -> ConnectionId;
   void OpenOne();
   void Start(ConnectionId id,
@@ -108,6 +122,8 @@
              Duration timeout,
              MemberCallback callback);
   void Finish(ConnectionId id, const MemberAnswer* answer);
+  void GiveUp(ConnectionId id);
+  void DropIdleNotHeardSince(Time time);
   void Drop(ConnectionId id);
   void NotifyFree();
 
@@ -115,6 +131,7 @@
   PoolLimits limits_;
   TimerService& timers_;
   Outbox& outbox_;
+  PoolGuards guards_;
   std::map<ConnectionId, Connection> connections_;
   std::int64_t running_ = 0;
   std::int64_t last_request_ = 0;
--- a/kingcuplock/entry/entry.cc
+++ b/kingcuplock/entry/entry.cc
@@ -11,6 +11,8 @@
 
 /// Part of the patience in ms that is kept for the way back from the owner.
 constexpr Milliseconds kAnswerReserve{20};
+/// How much earlier in ms the owner in this process gives a request up.
+constexpr Milliseconds kOwnerAnswersFirst{1};
 /// Pause in ms before a request is routed again.
 constexpr Milliseconds kReroutePause{20};
 /// Time in ms after which a caller may come back when there is no owner.
@@ -38,7 +40,8 @@
                    const CallerRequest& request,
                    ErrorKind kind) {
   const auto retry = kind == ErrorKind::kNoManifest ? kNoOwnerRetryMs : 0;
-  auto answer = Refusal(request.id, kind, retry);
+  auto answer = request.repeated ? InDoubt(request.id, kind, retry)
+                                 : Refusal(request.id, kind, retry);
   answer.token = request.token;
   ports_.answered(request, answer, Duration::zero());
   outbox_.Send(caller, std::move(answer));
@@ -62,10 +65,19 @@
     Refuse(caller, request, ErrorKind::kUnknownKind);
     return false;
   }
-  if (found->access == Access::kRead && !IsReadOnly(request)) {
+  const auto fits_read = request.step == Step::kSingle && IsReadOnly(request);
+  if (found->access == Access::kRead && !fits_read) {
     Refuse(caller, request, ErrorKind::kWrongAccess);
     return false;
   }
+  const auto must_not_repeat =
+      found->access == Access::kWrite && !found->repeatable;
+  const auto writes =
+      request.step == Step::kSingle || request.step == Step::kCommit;
+  if (must_not_repeat && writes && request.issued_ms <= 0) {
+    Refuse(caller, request, ErrorKind::kIssueTimeMissing);
+    return false;
+  }
   kind = *found;
   return true;
 }
@@ -85,6 +97,7 @@
       std::clamp<std::int64_t>(request.patience_ms, 0, kMaxPatienceMs);
   pending->id = ++last_id_;
   pending->caller = caller;
+  pending->in_doubt = request.repeated;
   pending->request = std::move(request);
   pending->began = timers_.Now();
   pending->deadline = timers_.Now() + Milliseconds(patience);
@@ -107,6 +120,8 @@
   Forward forward;
   forward.id = ++last_forward_;
   forward.request = pending->request;
+  forward.caller = static_cast<std::int64_t>(pending->caller);
+  forward.request.repeated = pending->in_doubt;
   const auto left = pending->deadline - timers_.Now() - kAnswerReserve;
   forward.request.patience_ms = std::max<std::int64_t>(
       std::chrono::duration_cast<Milliseconds>(left).count(), 1);
@@ -124,7 +139,10 @@
   request->request = pending->request;
   request->kind = pending->kind;
   request->token = pending->token;
-  request->deadline = pending->deadline;
+  request->source = pending->caller;
+  request->caller = pending->caller;
+  // The owner answers first: it knows more than the entry.
+  request->deadline = pending->deadline - kOwnerAnswersFirst;
   request->in_doubt = pending->in_doubt;
   request->reply = [this, pending](CallerAnswer answer) {
     OnOwnerAnswer(pending, std::move(answer));
@@ -186,6 +204,11 @@
   for (const auto& it : lost) {
     forwarded_.erase(it->forward_id);
     it->in_doubt = true;
+    if (it->request.step == Step::kStatement) {
+      // Sent again, it could run twice within its transaction.
+      Finish(it, InDoubt(it->request.id, ErrorKind::kTransactionUnknown));
+      continue;
+    }
     RouteSoon(it);
   }
 }
@@ -208,9 +231,8 @@
     RouteSoon(pending);
     return;
   }
-  const auto is_write = pending->kind.access == Access::kWrite;
-  if (answer.status == Status::kNotRun && pending->in_doubt && is_write) {
-    answer = InDoubt(pending->request.id, answer.error);
+  if (answer.status == Status::kNotRun && pending->in_doubt) {
+    answer = InDoubt(pending->request.id, answer.error, answer.retry_after_ms);
   }
   if (answer.error == ErrorKind::kNotOwner) {
     answer.error = ErrorKind::kNoOwner;
@@ -223,13 +245,10 @@
 void Entry::OnDeadline(const PendingPtr& pending) {
   const auto& id = pending->request.id;
   const auto may_run = pending->in_doubt || !pending->sent_to.empty();
-  if (may_run && pending->kind.access == Access::kWrite) {
-    Finish(pending, InDoubt(id, ErrorKind::kPatienceSpent));
-    return;
-  }
   const auto reason = pending->sent_to.empty() ? ErrorKind::kNoOwner
                                                : ErrorKind::kPatienceSpent;
-  Finish(pending, Refusal(id, reason, kNoOwnerRetryMs));
+  Finish(pending, may_run ? InDoubt(id, reason, kNoOwnerRetryMs)
+                          : Refusal(id, reason, kNoOwnerRetryMs));
 }
 
 void Entry::Finish(const PendingPtr& pending, CallerAnswer answer) {
--- a/kingcuplock/node/node.cc
+++ b/kingcuplock/node/node.cc
@@ -22,6 +22,12 @@
 /// Quiet time in ms after which a stopping instance ends.
 constexpr Milliseconds kStopQuiet{300};
 
+/// Tells the callers of all entry instances apart.
+auto CallerKey(ConnectionId link, std::int64_t caller) -> std::uint64_t {
+  constexpr std::uint64_t kLinkFactor = 0x9e3779b97f4a7c15;
+  return link * kLinkFactor + static_cast<std::uint64_t>(caller);
+}
+
 auto KeyPrefix(const ProxySettings& settings) -> std::string {
   return "kingcuplock/" + settings.deployment + "/";
 }
@@ -124,6 +130,9 @@
 void Node::OnClosed(ConnectionId connection) {
   if ((connection & kInboundBit) != 0) {
     entry_.OnCallerClosed(connection);
+    for (auto& [name, owner] : owners_) {
+      owner->OnSourceClosed(connection);
+    }
     return;
   }
   if (store_.OnClosed(connection) || peers_.OnClosed(connection)) {
@@ -191,6 +200,8 @@
     return;
   }
   owned->request = request;
+  owned->source = source;
+  owned->caller = CallerKey(source, forward.caller);
   owned->kind = *kind;
   owned->deadline = timers_.Now() + Milliseconds(request.patience_ms);
   owned->reply = reply;
--- /dev/null
+++ b/kingcuplock/node/outcome_test.cc
@@ -0,0 +1,225 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+#include "kingcuplock/outcome/content_hash.h"
+#include "testing/node_fixture.h"
+
+namespace kingcuplock {
+namespace {
+
+auto CountOf(const std::string& row, const std::string& value) -> std::size_t {
+  std::size_t n = 0;
+  for (auto at = (row + ",").find(value + ","); at != std::string::npos;
+       at = (row + ",").find(value + ",", at + 1)) {
+    ++n;
+  }
+  return n;
+}
+
+auto RowOf(NodeFixture& fixture) -> std::string {
+  const auto& rows = fixture.Primary("db0").rows;
+  const auto it = rows.find("row");
+  return it == rows.end() ? "" : it->second;
+}
+
+struct Tally {
+  int ok = 0;
+  int not_run = 0;
+  int unknown = 0;
+  int wrong = 0;
+};
+
+/// Writes under one seeded fault, then compares every answer with the row.
+/// `marked` false takes the markers away.
+auto RunSchedule(std::uint64_t seed, bool marked) -> Tally {
+  NodeFixture fixture({.seed = seed, .nodes = 3, .markers = marked});
+  fixture.Settle();
+  std::vector<CallerRequest> sent;
+  const auto fault = seed % 5;
+  for (auto n = 0; n < 30; ++n) {
+    auto request =
+        fixture.Append("w" + std::to_string(n), "row", "v" + std::to_string(n));
+    request.patience_ms = 1500;
+    fixture.Send(static_cast<std::size_t>(n) % 2, request);
+    if (n % 3 == 0) {
+      // The caller gave up on one entry and asks another.
+      auto again = request;
+      again.repeated = true;
+      fixture.Send(static_cast<std::size_t>(n + 1) % 2, again);
+    }
+    sent.push_back(request);
+    fixture.RunFor(Duration(fixture.random()() % 4000));
+    if (n != 10) {
+      continue;
+    }
+    const auto primary = fixture.Primary("db0").name;
+    const auto owner = fixture.OwnerOf("db0");
+    if (fault == 0) {
+      fixture.KillMember(primary);
+    } else if (fault == 1) {
+      fixture.SilenceMember(primary);
+    } else if (fault == 2 && owner == 2) {
+      fixture.KillNode(owner);
+    } else if (fault == 3) {
+      fixture.PauseMember(primary, true);
+    } else if (fault == 4) {
+      fixture.PauseNode(2, true);
+    }
+  }
+  fixture.RunFor(Milliseconds(6000));
+  Tally tally;
+  std::map<std::string, std::set<Status>> statuses;
+  for (const auto& it : fixture.answers()) {
+    statuses[it.answer.id].insert(it.answer.status);
+  }
+  for (const auto& it : sent) {
+    const auto& seen = statuses[it.id];
+    tally.ok += seen.contains(Status::kOk) ? 1 : 0;
+    tally.unknown += seen.contains(Status::kUnknown) ? 1 : 0;
+    const auto in_row = CountOf(RowOf(fixture), it.statements[0].value);
+    const auto lost = seen.contains(Status::kOk) && in_row == 0;
+    // Only answers to a single sending speak for the id alone.
+    const auto refused = seen == std::set{Status::kNotRun};
+    tally.not_run += refused ? 1 : 0;
+    tally.wrong += in_row > 1 || lost || (refused && in_row != 0) ? 1 : 0;
+  }
+  return tally;
+}
+
+TEST_CASE("Each id runs at most once and not_run never ran, over faults") {
+  Tally sum;
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    const auto tally = RunSchedule(seed, true);
+    INFO("seed ", seed);
+    CHECK(tally.wrong == 0);
+    sum.ok += tally.ok;
+    sum.unknown += tally.unknown;
+    sum.not_run += tally.not_run;
+  }
+  MESSAGE("ok ", sum.ok, " unknown ", sum.unknown, " not_run ", sum.not_run);
+  CHECK(sum.ok > 1000);
+}
+
+TEST_CASE("Without markers some id runs twice") {
+  auto wrong = 0;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    wrong += RunSchedule(seed, false).wrong;
+  }
+  CHECK(wrong > 0);
+}
+
+TEST_CASE("A write whose answer is lost is resolved within its patience") {
+  NodeFixture fixture({.seed = 5, .nodes = 2});
+  fixture.Settle();
+  fixture.Send(0, fixture.Append("w1", "row", "a"));
+  // The statement has run; its answer is on the way.
+  REQUIRE(fixture.RunUntil([&] { return RowOf(fixture) == "a"; },
+                           Milliseconds(100)));
+  fixture.SilenceMember(fixture.Primary("db0").name);
+  REQUIRE(fixture.RunUntil([&] { return !fixture.answers().empty(); },
+                           Milliseconds(5000)));
+  CHECK(fixture.answers().front().answer.status == Status::kOk);
+  CHECK(RowOf(fixture) == "a");
+}
+
+TEST_CASE("Duplicates of one id in flight at two entries run once") {
+  NodeFixture fixture({.seed = 6, .nodes = 2});
+  fixture.Settle();
+  const auto request = fixture.Append("w1", "row", "a");
+  fixture.Send(0, request);
+  fixture.Send(1, request);
+  REQUIRE(fixture.RunUntil([&] { return fixture.answers().size() == 2; },
+                           Milliseconds(1000)));
+  for (const auto& it : fixture.answers()) {
+    CHECK(it.answer.status == Status::kOk);
+  }
+  CHECK(RowOf(fixture) == "a");
+}
+
+TEST_CASE("An id with another content is refused, in flight and later") {
+  NodeFixture fixture({.seed = 7, .nodes = 2});
+  fixture.Settle();
+  fixture.Send(0, fixture.Append("w1", "row", "a"));
+  fixture.Send(0, fixture.Append("w1", "row", "b"));
+  REQUIRE(fixture.RunUntil([&] { return fixture.answers().size() == 2; },
+                           Milliseconds(1000)));
+  const auto refused = std::count_if(
+      fixture.answers().begin(), fixture.answers().end(), [](const auto& it) {
+        return it.answer.error == ErrorKind::kRequestIdReused;
+      });
+  CHECK(refused == 1);
+  const auto later = fixture.Ask(1, fixture.Append("w1", "row", "c"));
+  CHECK(later.status == Status::kFailed);
+  CHECK(later.error == ErrorKind::kRequestIdReused);
+  CHECK(RowOf(fixture).size() == 1);
+}
+
+TEST_CASE("A write that must not repeat needs its time of issue") {
+  NodeFixture fixture({.seed = 8, .nodes = 1});
+  fixture.Settle();
+  auto request = fixture.Append("w1", "row", "a");
+  request.issued_ms = 0;
+  const auto answer = fixture.Ask(0, request);
+  CHECK(answer.status == Status::kNotRun);
+  CHECK(answer.error == ErrorKind::kIssueTimeMissing);
+  CHECK(RowOf(fixture).empty());
+}
+
+TEST_CASE("Markers are pruned after the retention and older ids refused") {
+  NodeFixture fixture({.seed = 9, .nodes = 2, .marker_retention_ms = 8000});
+  fixture.Settle();
+  const auto request = fixture.Append("w1", "row", "a");
+  REQUIRE(fixture.Ask(0, request).status == Status::kOk);
+  CHECK(fixture.Ask(0, request).status == Status::kOk);
+  fixture.RunFor(Milliseconds(12'000));
+  CHECK(fixture.Primary("db0").markers.empty());
+  const auto late = fixture.Ask(1, request);
+  CHECK(late.status == Status::kUnknown);
+  CHECK(late.error == ErrorKind::kRequestIdTooOld);
+  CHECK(RowOf(fixture) == "a");
+}
+
+TEST_CASE("A repeated id is never refused as not_run") {
+  NodeFixture fixture({.seed = 10, .nodes = 1});
+  fixture.Settle();
+  auto request = fixture.Append("w1", "row", "a");
+  REQUIRE(fixture.Ask(0, request).status == Status::kOk);
+  for (const auto& it : fixture.manifest().databases.front().members) {
+    fixture.KillMember(it.name);
+  }
+  request.patience_ms = 300;
+  request.repeated = true;
+  const auto answer = fixture.Ask(0, request);
+  CHECK(answer.status == Status::kUnknown);
+  CHECK(answer.receipt == "w1");
+  CHECK(answer.retry_after_ms > 0);
+  auto other = fixture.Append("w2", "row", "b");
+  other.patience_ms = 300;
+  CHECK(fixture.Ask(0, other).status == Status::kNotRun);
+}
+
+TEST_CASE("An unknown answer is resolved by its receipt after an owner died") {
+  NodeFixture fixture({.seed = 11, .nodes = 3});
+  fixture.Settle();
+  const auto owner = fixture.OwnerOf("db0");
+  const auto entry = (owner + 1) % 3;
+  auto request = fixture.Append("w1", "row", "a");
+  request.patience_ms = 200;
+  fixture.Send(entry, request);
+  REQUIRE(fixture.RunUntil([&] { return RowOf(fixture) == "a"; },
+                           Milliseconds(100)));
+  fixture.KillNode(owner);
+  REQUIRE(fixture.RunUntil([&] { return !fixture.answers().empty(); },
+                           Milliseconds(1000)));
+  CHECK(fixture.answers().front().answer.status == Status::kUnknown);
+  request.repeated = true;
+  request.patience_ms = 10'000;
+  CHECK(fixture.Ask(entry, request).status == Status::kOk);
+  CHECK(RowOf(fixture) == "a");
+}
+
+}  // namespace
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/node/transactions_test.cc
@@ -0,0 +1,262 @@
+#include <doctest/doctest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "testing/node_fixture.h"
+
+namespace kingcuplock {
+namespace {
+
+auto StepOf(const NodeFixture& fixture,
+            const std::string& id,
+            Step step,
+            const std::string& transaction) -> CallerRequest {
+  auto request = fixture.Append(id, "", "");
+  request.statements.clear();
+  request.step = step;
+  request.transaction = transaction;
+  request.patience_ms = 2000;
+  return request;
+}
+
+auto AppendStep(const NodeFixture& fixture,
+                const std::string& id,
+                const std::string& transaction,
+                const std::string& key,
+                const std::string& value) -> CallerRequest {
+  auto request = StepOf(fixture, id, Step::kStatement, transaction);
+  request.statements = {{Verb::kAppend, key, value}};
+  return request;
+}
+
+auto Row(NodeFixture& fixture, const std::string& key) -> std::string {
+  const auto& rows = fixture.Primary("db0").rows;
+  const auto it = rows.find(key);
+  return it == rows.end() ? "" : it->second;
+}
+
+/// Begins a transaction that has written "a" to rows x and y.
+auto Prepare(NodeFixture& fixture, std::size_t node) -> std::string {
+  const auto begun = fixture.Ask(node, StepOf(fixture, "b", Step::kBegin, ""));
+  REQUIRE(begun.status == Status::kOk);
+  const auto handle = begun.transaction;
+  for (const std::string key : {"x", "y"}) {
+    const auto answer =
+        fixture.Ask(node, AppendStep(fixture, "s" + key, handle, key, "a"));
+    REQUIRE(answer.status == Status::kOk);
+  }
+  return handle;
+}
+
+TEST_CASE("A transaction is seen by others only after its commit") {
+  NodeFixture fixture({.seed = 1, .nodes = 2});
+  fixture.Settle();
+  const auto handle = Prepare(fixture, 0);
+  CHECK(Row(fixture, "x").empty());
+  const auto done = fixture.Ask(0, StepOf(fixture, "c", Step::kCommit, handle));
+  CHECK(done.status == Status::kOk);
+  CHECK(Row(fixture, "x") == "a");
+  CHECK(Row(fixture, "y") == "a");
+  const auto late =
+      fixture.Ask(0, AppendStep(fixture, "late", handle, "x", "b"));
+  CHECK(late.error == ErrorKind::kTransactionUnknown);
+  auto again = StepOf(fixture, "c", Step::kCommit, handle);
+  CHECK(fixture.Ask(1, again).status == Status::kOk);
+  CHECK(Row(fixture, "x") == "a");
+}
+
+TEST_CASE("A transaction is rolled back by its caller and when it is idle") {
+  NodeFixture fixture({.seed = 2, .nodes = 2});
+  fixture.Settle();
+  auto handle = Prepare(fixture, 0);
+  CHECK(fixture.Ask(0, StepOf(fixture, "r", Step::kRollback, handle)).status ==
+        Status::kOk);
+  handle = Prepare(fixture, 1);
+  fixture.RunFor(Milliseconds(6000));
+  const auto late = fixture.Ask(1, StepOf(fixture, "c", Step::kCommit, handle));
+  CHECK(late.status == Status::kNotRun);
+  CHECK(late.error == ErrorKind::kTransactionUnknown);
+  CHECK(Row(fixture, "x").empty());
+}
+
+TEST_CASE("After an owner change a transaction is unknown and left nothing") {
+  NodeFixture fixture({.seed = 3, .nodes = 3});
+  fixture.Settle();
+  const auto owner = fixture.OwnerOf("db0");
+  const auto entry = (owner + 1) % 3;
+  const auto handle = Prepare(fixture, entry);
+  fixture.KillNode(owner);
+  auto commit = StepOf(fixture, "c", Step::kCommit, handle);
+  commit.patience_ms = 10'000;
+  const auto answer = fixture.Ask(entry, commit);
+  CHECK(answer.error == ErrorKind::kTransactionUnknown);
+  CHECK(answer.status == Status::kNotRun);
+  CHECK(Row(fixture, "x").empty());
+}
+
+TEST_CASE("An entry that dies in the middle of a transaction ends it at once") {
+  NodeFixture fixture({.seed = 4, .nodes = 3});
+  fixture.Settle();
+  const auto owner = fixture.OwnerOf("db0");
+  const auto entry = (owner + 1) % 3;
+  const auto other = (owner + 2) % 3;
+  const auto handle = Prepare(fixture, entry);
+  fixture.KillNode(entry);
+  fixture.RunFor(Milliseconds(100));
+  const auto answer =
+      fixture.Ask(other, AppendStep(fixture, "s", handle, "x", "b"));
+  CHECK(answer.error == ErrorKind::kTransactionUnknown);
+  CHECK(Row(fixture, "x").empty());
+}
+
+TEST_CASE("A commit whose answer is lost is settled by its marker") {
+  NodeFixture fixture({.seed = 5, .nodes = 2});
+  fixture.Settle();
+  const auto handle = Prepare(fixture, 0);
+  const auto before = fixture.answers().size();
+  fixture.Send(0, StepOf(fixture, "c", Step::kCommit, handle));
+  REQUIRE(fixture.RunUntil([&] { return Row(fixture, "x") == "a"; },
+                           Milliseconds(100)));
+  fixture.SilenceMember(fixture.Primary("db0").name);
+  REQUIRE(fixture.RunUntil([&] { return fixture.answers().size() > before; },
+                           Milliseconds(5000)));
+  CHECK(fixture.answers().back().answer.status == Status::kOk);
+  CHECK(Row(fixture, "x") == "a");
+}
+
+TEST_CASE("A commit that never arrived is settled as not run") {
+  NodeFixture fixture({.seed = 6, .nodes = 2});
+  fixture.Settle();
+  const auto handle = Prepare(fixture, 0);
+  fixture.SilenceMember(fixture.Primary("db0").name);
+  auto commit = StepOf(fixture, "c", Step::kCommit, handle);
+  commit.patience_ms = 5000;
+  const auto answer = fixture.Ask(0, commit);
+  CHECK(answer.status == Status::kNotRun);
+  CHECK(answer.error == ErrorKind::kTransactionUnknown);
+  CHECK(Row(fixture, "x").empty());
+}
+
+TEST_CASE("Open transactions leave single requests their connections") {
+  NodeFixture fixture({.seed = 7, .nodes = 1});
+  fixture.Settle();
+  auto opened = 0;
+  for (auto n = 0; n < 20; ++n) {
+    const auto answer = fixture.Ask(
+        0, StepOf(fixture, "b" + std::to_string(n), Step::kBegin, ""));
+    opened += answer.status == Status::kOk ? 1 : 0;
+    if (answer.status != Status::kOk) {
+      CHECK(answer.error == ErrorKind::kTransactionsFull);
+      CHECK(answer.retry_after_ms > 0);
+    }
+    fixture.RunFor(Milliseconds(5));
+  }
+  CHECK(opened == 3);
+  CHECK(fixture.Ask(0, fixture.Append("w", "row", "a")).status == Status::kOk);
+}
+
+/// Transactions that each append their name to rows x and y, under a fault.
+/// Returns how many are half done, doubled, or answered wrongly.
+auto CountWrong(std::uint64_t seed) -> int {
+  NodeFixture fixture({.seed = seed, .nodes = 3});
+  fixture.Settle();
+  std::map<std::string, Status> outcomes;
+  for (auto n = 0; n < 12; ++n) {
+    const auto name = "t" + std::to_string(n);
+    const auto owner = fixture.OwnerOf("db0");
+    if (n == 6) {
+      const auto primary = fixture.Primary("db0").name;
+      fixture.Send(0, StepOf(fixture, name + "-open", Step::kBegin, ""));
+      fixture.RunFor(Duration(fixture.random()() % 3000));
+      if (seed % 4 == 0) {
+        fixture.KillMember(primary);
+      } else if (seed % 4 == 1) {
+        fixture.SilenceMember(primary);
+      } else if (seed % 4 == 2 && owner > 1) {
+        fixture.KillNode(owner);
+      } else if (seed % 4 == 3) {
+        fixture.CutPeers(0, 1, true);
+      }
+    }
+    const auto entry = static_cast<std::size_t>(n % 2);
+    const auto begun =
+        fixture.Ask(entry, StepOf(fixture, name + "b", Step::kBegin, ""));
+    const auto handle = begun.transaction;
+    if (begun.status != Status::kOk) {
+      continue;
+    }
+    for (const std::string key : {"x", "y"}) {
+      fixture.Send(entry,
+                   AppendStep(fixture, name + key, handle, key, name + ";"));
+      fixture.RunFor(Duration(fixture.random()() % 6000));
+    }
+    outcomes[name] =
+        fixture.Ask(entry, StepOf(fixture, name + "c", Step::kCommit, handle))
+            .status;
+  }
+  fixture.CutPeers(0, 1, false);
+  fixture.RunFor(Milliseconds(6000));
+  auto wrong = 0;
+  for (const auto& [name, status] : outcomes) {
+    const auto in = [&](const std::string& key) {
+      return Row(fixture, key).find(name + ";") != std::string::npos;
+    };
+    wrong += status == Status::kOk && (!in("x") && !in("y")) ? 1 : 0;
+    wrong += status == Status::kNotRun && (in("x") || in("y")) ? 1 : 0;
+    wrong += status == Status::kFailed && (in("x") || in("y")) ? 1 : 0;
+  }
+  return wrong;
+}
+
+TEST_CASE("Commits are answered truly under faults") {
+  for (std::uint64_t seed = 1; seed <= 32; ++seed) {
+    INFO("seed ", seed);
+    CHECK(CountWrong(seed) == 0);
+  }
+}
+
+TEST_CASE("Connections and slots stay in the budget through owner changes") {
+  struct Size {
+    std::int64_t slots;
+    std::int64_t connections;
+    std::int64_t opening_us;
+  };
+  for (const auto size : {Size{2, 16, 12'000}, Size{5, 50, 30'000}}) {
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+      NodeFixture fixture({.seed = seed,
+                           .nodes = 3,
+                           .slots = size.slots,
+                           .connections = size.connections,
+                           .opening_us = size.opening_us});
+      fixture.Settle();
+      for (auto n = 0; n < 400; ++n) {
+        const auto step = n % 4 == 0 ? Step::kBegin : Step::kSingle;
+        auto request = fixture.Append("w" + std::to_string(n), "row", "a");
+        request.step = step;
+        request.patience_ms = 8000;
+        fixture.Send(static_cast<std::size_t>(n) % 2, request);
+        fixture.RunFor(Duration(2000));
+        if (n == 100 && seed % 3 == 0) {
+          fixture.PauseNode(fixture.OwnerOf("db0"), true);
+        } else if (n == 100 && seed % 3 == 1) {
+          fixture.StopNode(fixture.OwnerOf("db0"));
+        } else if (n == 100) {
+          fixture.KillMember(fixture.Primary("db0").name);
+        }
+      }
+      fixture.RunFor(Milliseconds(6000));
+      for (std::size_t n = 0; n < fixture.nodes(); ++n) {
+        fixture.PauseNode(n, false);
+      }
+      fixture.RunFor(Milliseconds(1000));
+      INFO("seed ", seed, " slots ", size.slots);
+      CHECK(fixture.MostConnections() <= size.connections);
+      CHECK(fixture.MostStatements() <= size.slots);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace kingcuplock
--- a/kingcuplock/owner/answers.cc
+++ b/kingcuplock/owner/answers.cc
@@ -49,7 +49,8 @@
       return "no replica confirmed the write in time; ask again with the same "
              "id";
     case ErrorKind::kTransactionUnknown:
-      return "the transaction is not open here; begin it again";
+      return "the transaction is not open any more and was not committed; "
+             "begin it again";
     case ErrorKind::kNoManifest:
       return "no manifest is in force yet; come back after retry_after_ms";
     case ErrorKind::kPositionLost:
@@ -58,6 +59,15 @@
       return "the instance is about to stop; connect again";
     case ErrorKind::kUnauthorized:
       return "the key is not accepted; check the key file";
+    case ErrorKind::kRequestIdReused:
+      return "the request id was used before with another content; use a new "
+             "id for a new request";
+    case ErrorKind::kIssueTimeMissing:
+      return "a write that must not repeat needs issued_ms; set it to the Unix "
+             "time in ms of the first sending";
+    case ErrorKind::kTransactionsFull:
+      return "no connection is left for another transaction; come back after "
+             "retry_after_ms";
   }
   return "";
 }
@@ -88,10 +98,21 @@
   return Build(id, Status::kFailed, error);
 }
 
-auto InDoubt(const std::string& id, ErrorKind error) -> CallerAnswer {
+auto InDoubt(const std::string& id,
+             ErrorKind error,
+             std::int64_t retry_after_ms) -> CallerAnswer {
   auto answer = Build(id, Status::kUnknown, error);
+  answer.retry_after_ms = retry_after_ms;
   answer.receipt = id;
   return answer;
 }
 
+auto GiveUp(const OwnerRequest& request,
+            ErrorKind reason,
+            std::int64_t retry_after_ms) -> CallerAnswer {
+  const auto may_have_run = request.in_doubt || request.at_member;
+  return may_have_run ? InDoubt(request.request.id, reason, retry_after_ms)
+                      : Refusal(request.request.id, reason, retry_after_ms);
+}
+
 }  // namespace kingcuplock
--- a/kingcuplock/owner/answers.h
+++ b/kingcuplock/owner/answers.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "kingcuplock/owner/owner_request.h"
 #include "kingcuplock/schema/messages.h"
 
 namespace kingcuplock {
@@ -25,7 +26,15 @@
 auto Failure(const std::string& id, ErrorKind error) -> CallerAnswer;
 
 /// Returns an `unknown` answer with the request id as its receipt: the same
-/// request with the same id resolves it.
-auto InDoubt(const std::string& id, ErrorKind error) -> CallerAnswer;
+/// request with the same id and `repeated` set resolves it.
+auto InDoubt(const std::string& id,
+             ErrorKind error,
+             std::int64_t retry_after_ms = 0) -> CallerAnswer;
+
+/// Returns the answer to a request that is given up: `not_run` where it is
+/// proved that neither this sending nor an earlier one ran, else `unknown`.
+auto GiveUp(const OwnerRequest& request,
+            ErrorKind reason,
+            std::int64_t retry_after_ms) -> CallerAnswer;
 
 }  // namespace kingcuplock
--- a/kingcuplock/owner/database_owner.cc
+++ b/kingcuplock/owner/database_owner.cc
@@ -4,23 +4,15 @@
 #include <utility>
 #include <vector>
 
+#include "kingcuplock/admission/connection_budget.h"
+#include "kingcuplock/outcome/content_hash.h"
 #include "kingcuplock/owner/answers.h"
 
 namespace kingcuplock {
 namespace {
 
-/// Connections of a member that are left for control links and probes of this
-/// owner and its successor.
-constexpr std::int64_t kReservedConnections = 3;
 /// Time in ms after which a caller may come back when the primary is away.
 constexpr std::int64_t kPrimaryRetryMs = 500;
-/// Shortest time in ms after which a caller may come back.
-constexpr std::int64_t kMinRetryMs = 20;
-
-auto RetryAfterMs(Duration wait) -> std::int64_t {
-  return std::max<std::int64_t>(
-      std::chrono::duration_cast<Milliseconds>(wait).count(), kMinRetryMs);
-}
 
 }  // namespace
 
@@ -59,7 +51,15 @@
           [this](const RequestPtr& request) {
             runner_.Enqueue(request);
             runner_.Pump();
-          }) {
+          }),
+      pruner_(config_, record.epoch, leader_, pools_, timers),
+      transactions_(config_,
+                    record.epoch,
+                    leader_,
+                    pools_,
+                    runner_.open_sends(),
+                    timers,
+                    MakeTransactionPorts()) {
   for (const auto& it : config_.members) {
     AddPool(it, outbox);
   }
@@ -71,6 +71,22 @@
   }
 }
 
+auto DatabaseOwner::MakeTransactionPorts() -> TransactionPorts {
+  TransactionPorts ports;
+  ports.finish = [this](const RequestPtr& request, CallerAnswer answer) {
+    Finish(request, std::move(answer));
+  };
+  ports.confirm = [this](const RequestPtr& request,
+                         const MemberAnswer& answer) {
+    runner_.Confirm(request, answer);
+  };
+  ports.settle = [this](const RequestPtr& request) {
+    runner_.Settle(request, Settling::kLookup);
+  };
+  ports.fenced_out = [this] { Stop(); };
+  return ports;
+}
+
 auto DatabaseOwner::MakeLeaderPorts(OwnerPorts ports) -> LeaderPorts {
   LeaderPorts out;
   out.lease_is_valid = std::move(ports.lease_is_valid);
@@ -81,6 +97,7 @@
     runner_.Pump();
   };
   out.closed = [this](const std::string& primary) {
+    transactions_.EndAll();
     runner_.GiveUpPrimary(primary);
   };
   out.sampled = [this] { runner_.AcknowledgeReady(); };
@@ -89,9 +106,8 @@
 }
 
 void DatabaseOwner::AddPool(const MemberConfig& member, Outbox& outbox) {
-  const PoolLimits limits{
-      std::max<std::int64_t>(config_.connections - kReservedConnections, 1),
-      config_.slots};
+  const PoolLimits limits{OwnerPoolConnections(config_.connections),
+                          config_.slots};
   auto pool = std::make_unique<ConnectionPool>(member, limits, timers_, outbox);
   pool->OnFree([this, name = member.name] { OnFree(name); });
   pools_[member.name] = std::move(pool);
@@ -99,7 +115,13 @@
 
 void DatabaseOwner::OnFree(const std::string& member) {
   if (member == leader_.primary()) {
+    // Takes turns, so that neither keeps the slots from the other.
+    transactions_first_ = !transactions_first_;
+    if (transactions_first_) {
+      transactions_.Pump();
+    }
     runner_.Pump();
+    transactions_.Pump();
   } else {
     reader_.Pump();
   }
@@ -110,51 +132,125 @@
   for (auto& [name, pool] : pools_) {
     pool->Warm();
   }
+  pruner_.Start();
 }
 
 void DatabaseOwner::Submit(const RequestPtr& request) {
-  const auto& id = request->request.id;
-  if (phase() == OwnerPhase::kStopped || draining_) {
-    request->reply(Refusal(id, ErrorKind::kNotOwner, 0));
+  request->in_doubt |= request->request.repeated;
+  const auto in_open_transaction =
+      transactions_.IsOpen(request->request.transaction);
+  if (phase() == OwnerPhase::kStopped || (draining_ && !in_open_transaction)) {
+    request->reply(GiveUp(*request, ErrorKind::kNotOwner, 0));
     return;
   }
-  const auto patience = request->deadline - timers_.Now();
-  const auto wait = runner_.ExpectedWait(request->kind.priority);
-  if (wait > patience) {
-    request->reply(Refusal(id, ErrorKind::kOverloaded, RetryAfterMs(wait)));
-    return;
+  if (MayWrite(*request)) {
+    request->content_hash = ContentHash(request->request);
+    request->in_doubt |= runner_.open_sends().Contains(request->request.id);
   }
+  const auto patience = request->deadline - timers_.Now();
   open_.insert(request);
   request->deadline_timer =
       timers_.After(patience, [this, request] { Expire(request); });
+  if (!MayWrite(*request) || !JoinSameId(request)) {
+    Admit(request);
+  }
+}
+
+void DatabaseOwner::Admit(const RequestPtr& request) {
+  if (request->request.step != Step::kSingle) {
+    transactions_.Submit(request);
+    return;
+  }
+  const auto stale =
+      request->kind.access == Access::kRead && request->kind.max_age_ms > 0;
+  if (stale && ReplicaWait() > request->deadline - timers_.Now()) {
+    Finish(request, GiveUp(*request, ErrorKind::kOverloaded,
+                           runner_.RetryAfterMs(request->kind.priority)));
+    return;
+  }
   if (!reader_.TryServe(request)) {
     runner_.Enqueue(request);
     runner_.Pump();
   }
 }
 
+// Returns how long a read that may be stale waits and runs, by the service
+// time measured at the primary.
+auto DatabaseOwner::ReplicaWait() const -> Duration {
+  const auto replicas = std::max<std::size_t>(config_.members.size() - 1, 1);
+  const auto slots = config_.slots * static_cast<std::int64_t>(replicas);
+  const auto waiting = static_cast<std::int64_t>(reader_.Queued());
+  return runner_.Service() * waiting / slots + runner_.Service();
+}
+
+// Returns whether the request waits for an earlier sending of its id, or was
+// refused because of it.
+auto DatabaseOwner::JoinSameId(const RequestPtr& request) -> bool {
+  const auto& id = request->request.id;
+  const auto [it, is_first] = writes_.try_emplace(id, SameId{request, {}});
+  if (is_first) {
+    return false;
+  }
+  if (it->second.first->content_hash != request->content_hash) {
+    Finish(request, Failure(id, ErrorKind::kRequestIdReused));
+    return true;
+  }
+  request->in_doubt = true;
+  it->second.later.push_back(request);
+  return true;
+}
+
+// Lets later sendings of the id go on: a failure is theirs too, otherwise the
+// marker tells what became of the first.
+void DatabaseOwner::ReleaseSameId(const RequestPtr& request,
+                                  const CallerAnswer& answer) {
+  const auto it = writes_.find(request->request.id);
+  if (it == writes_.end() || it->second.first != request) {
+    return;
+  }
+  const auto later = std::move(it->second.later);
+  writes_.erase(it);
+  for (const auto& next : later) {
+    if (next->answered) {
+      continue;
+    }
+    if (answer.status == Status::kFailed) {
+      Finish(next, answer);
+    } else if (phase() != OwnerPhase::kStopped && !JoinSameId(next)) {
+      Admit(next);
+    }
+  }
+}
+
 void DatabaseOwner::Finish(const RequestPtr& request, CallerAnswer answer) {
   if (std::exchange(request->answered, true)) {
     return;
   }
   timers_.Cancel(request->deadline_timer);
   open_.erase(request);
-  request->reply(std::move(answer));
+  request->reply(answer);
+  if (MayWrite(*request)) {
+    ReleaseSameId(request, answer);
+  }
   CheckDrained();
 }
 
 void DatabaseOwner::Expire(const RequestPtr& request) {
+  const auto may_have_run = request->in_doubt || request->at_member;
   runner_.Forget(request);
+  transactions_.Forget(request);
   reader_.Forget(request);
-  const auto& id = request->request.id;
-  const auto is_write = request->kind.access == Access::kWrite;
-  if (is_write && (request->in_doubt || request->at_member)) {
-    Finish(request, InDoubt(id, ErrorKind::kNotReplicated));
+  if (request->answered) {
+    return;
+  }
+  if (may_have_run && MayWrite(*request)) {
+    Finish(request, InDoubt(request->request.id, ErrorKind::kNotReplicated,
+                            kPrimaryRetryMs));
     return;
   }
   const auto reason = leader_.IsServing() ? ErrorKind::kPatienceSpent
                                           : ErrorKind::kPrimaryUnavailable;
-  Finish(request, Refusal(id, reason, kPrimaryRetryMs));
+  Finish(request, GiveUp(*request, reason, kPrimaryRetryMs));
 }
 
 void DatabaseOwner::Stop() {
@@ -162,16 +258,17 @@
     return;
   }
   leader_.Stop();
+  transactions_.EndAll();
   for (auto& [name, pool] : pools_) {
     pool->CloseAll();
   }
   runner_.Clear();
   reader_.Clear();
   for (const auto& it : std::vector<RequestPtr>(open_.begin(), open_.end())) {
-    const auto& id = it->request.id;
     const auto may_have_run = it->in_doubt || it->at_member;
-    Finish(it, may_have_run ? InDoubt(id, ErrorKind::kFenced)
-                            : Refusal(id, ErrorKind::kNotOwner, 0));
+    Finish(it,
+           GiveUp(*it, may_have_run ? ErrorKind::kFenced : ErrorKind::kNotOwner,
+                  0));
   }
 }
 
@@ -182,7 +279,8 @@
 }
 
 void DatabaseOwner::CheckDrained() {
-  if (draining_ && open_.empty() && on_drained_) {
+  const auto idle = open_.empty() && transactions_.Open() == 0;
+  if (draining_ && idle && on_drained_) {
     timers_.After(Duration::zero(),
                   [done = std::exchange(on_drained_, {})] { done(); });
   }
--- a/kingcuplock/owner/database_owner.h
+++ b/kingcuplock/owner/database_owner.h
@@ -11,14 +11,18 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <unordered_map>
 #include <unordered_set>
+#include <vector>
 
 #include "kingcuplock/actions/outbox.h"
 #include "kingcuplock/base/timer_service.h"
 #include "kingcuplock/owner/group_leader.h"
+#include "kingcuplock/owner/marker_pruner.h"
 #include "kingcuplock/owner/owner_request.h"
 #include "kingcuplock/owner/replica_reader.h"
 #include "kingcuplock/owner/request_runner.h"
+#include "kingcuplock/owner/transactions.h"
 #include "kingcuplock/schema/manifest.h"
 #include "kingcuplock/schema/messages.h"
 #include "kingcuplock/schema/settings.h"
@@ -58,6 +62,12 @@
   /// Serves a request; its reply comes by the deadline at the latest.
   void Submit(const RequestPtr& request);
 
+  /// Rolls back what was begun on an inbound connection that ended.
+  void OnSourceClosed(ConnectionId source) {
+    transactions_.OnSourceClosed(source);
+    CheckDrained();
+  }
+
   /// Stops serving. Requests that did not run are answered not_owner, others
   /// are in doubt.
   void Stop();
@@ -83,9 +93,14 @@
   auto OnAnswer(ConnectionId connection, const MemberAnswer& answer) -> bool;
 
  private:
+  auto MakeTransactionPorts() -> TransactionPorts;
   auto MakeLeaderPorts(OwnerPorts ports) -> LeaderPorts;
   void AddPool(const MemberConfig& member, Outbox& outbox);
   void OnFree(const std::string& member);
+  void Admit(const RequestPtr& request);
+  auto ReplicaWait() const -> Duration;
+  auto JoinSameId(const RequestPtr& request) -> bool;
+  void ReleaseSameId(const RequestPtr& request, const CallerAnswer& answer);
   void Finish(const RequestPtr& request, CallerAnswer answer);
   void Expire(const RequestPtr& request);
   void CheckDrained();
@@ -96,7 +111,17 @@
   GroupLeader leader_;
   RequestRunner runner_;
   ReplicaReader reader_;
+  MarkerPruner pruner_;
+  Transactions transactions_;
+  bool transactions_first_ = false;
   std::unordered_set<RequestPtr> open_;
+  /// Writes in flight by request id; later sendings of an id wait for the
+  /// first one.
+  struct SameId {
+    RequestPtr first;
+    std::vector<RequestPtr> later;
+  };
+  std::unordered_map<std::string, SameId> writes_;
   bool draining_ = false;
   std::function<void()> on_drained_;
 };
--- a/kingcuplock/owner/replica_reader.cc
+++ b/kingcuplock/owner/replica_reader.cc
@@ -68,6 +68,7 @@
   MemberRequest read;
   read.op = MemberOp::kRead;
   read.statements = request->request.statements;
+  request->at_member = true;
   pools_.at(member)->Run(std::move(read), kStatementTimeout,
                          [this, request, member](const MemberAnswer* answer) {
                            OnAnswer(request, member, answer);
@@ -86,6 +87,8 @@
 void ReplicaReader::OnAnswer(const RequestPtr& request,
                              const std::string& member,
                              const MemberAnswer* answer) {
+  request->at_member = false;
+  request->in_doubt = true;
   if (request->answered) {
     return;
   }
--- a/kingcuplock/owner/replica_reader.h
+++ b/kingcuplock/owner/replica_reader.h
@@ -36,6 +36,9 @@
   /// Sends what waits for a slot.
   void Pump();
 
+  /// Returns the number of requests that wait.
+  auto Queued() const -> std::size_t { return queue_.Size(); }
+
   /// Forgets a request that waits.
   void Forget(const RequestPtr& request);
 
--- a/kingcuplock/owner/request_runner.cc
+++ b/kingcuplock/owner/request_runner.cc
@@ -12,6 +12,11 @@
 /// Longest time in ms that one statement may take at the primary.
 constexpr Milliseconds kStatementTimeout{1000};
 
+/// Requests that may wait for the primary of one database.
+constexpr std::size_t kQueueLimit = 2048;
+/// Hash of the empty transaction that takes the id of a request in doubt.
+constexpr std::string_view kAbortedHash = "aborted";
+
 }  // namespace
 
 auto BuildAnswer(const OwnerRequest& request,
@@ -45,7 +50,9 @@
       pools_(pools),
       timers_(timers),
       finish_(std::move(finish)),
-      fenced_out_(std::move(fenced_out)) {}
+      fenced_out_(std::move(fenced_out)),
+      queue_(kQueueLimit, config.slots),
+      retry_after_(static_cast<std::uint64_t>(epoch)) {}
 
 auto RequestRunner::PrimaryPool() -> ConnectionPool* {
   const auto it = pools_.find(leader_.primary());
@@ -53,39 +60,80 @@
 }
 
 void RequestRunner::Enqueue(const RequestPtr& request) {
-  queue_.Push(request->kind.priority, request);
+  retry_budget_.NoteRequest();
+  Refuse(queue_.Push(
+      {request->kind.priority, request->caller, request->deadline, request},
+      timers_.Now()));
+}
+
+void RequestRunner::Requeue(const RequestPtr& request) {
+  queue_.PushFront(
+      {request->kind.priority, request->caller, request->deadline, request});
+}
+
+void RequestRunner::Refuse(const std::vector<QueuedItem<RequestPtr>>& late) {
+  for (const auto& it : late) {
+    finish_(it.item, GiveUp(*it.item, ErrorKind::kOverloaded,
+                            RetryAfterMs(it.priority)));
+  }
 }
 
 void RequestRunner::Pump() {
   auto* pool = PrimaryPool();
   while (leader_.IsServing() && pool != nullptr && pool->HasFree()) {
-    const auto next = queue_.Pop();
+    std::vector<QueuedItem<RequestPtr>> late;
+    const auto next = queue_.Pop(timers_.Now(), late);
+    if (next) {
+      Run(next->item);
+    }
+    Refuse(late);
     if (!next) {
       return;
     }
-    Run(*next);
   }
 }
 
-void RequestRunner::Run(const RequestPtr& request) {
+auto RequestRunner::BuildCall(const OwnerRequest& request) const
+    -> MemberRequest {
   MemberRequest call;
   call.op = MemberOp::kRead;
-  call.statements = request->request.statements;
-  if (request->kind.access == Access::kWrite) {
+  call.statements = request.request.statements;
+  if (request.kind.access == Access::kWrite) {
     call.op = MemberOp::kExecute;
     call.epoch = epoch_;
     call.term = leader_.term();
-    call.request_id = request->request.id;
-    call.issued_ms = request->request.issued_ms;
+    call.request_id = request.request.id;
+    call.issued_ms = request.request.issued_ms;
+    call.content_hash = request.content_hash;
   }
+  if (request.settling == Settling::kLookup) {
+    call.op = MemberOp::kLookup;
+  } else if (request.settling != Settling::kNone) {
+    call.statements.clear();
+    call.content_hash = kAbortedHash;
+  }
+  return call;
+}
+
+void RequestRunner::Run(const RequestPtr& request) {
+  auto call = BuildCall(*request);
   request->at_member = true;
+  const auto executes = request->settling == Settling::kNone &&
+                        request->kind.access == Access::kWrite;
+  if (executes) {
+    open_sends_.NoteSent(request->request.id);
+  }
   const auto sent = timers_.Now();
   const auto term = leader_.term();
-  PrimaryPool()->Run(std::move(call), kStatementTimeout,
-                     [this, request, term, sent](const MemberAnswer* answer) {
-                       request->at_member = false;
-                       OnAnswer(request, term, sent, answer);
-                     });
+  PrimaryPool()->Run(
+      std::move(call), kStatementTimeout,
+      [this, request, term, sent, executes](const MemberAnswer* answer) {
+        request->at_member = false;
+        if (executes && answer != nullptr) {
+          open_sends_.NoteAnswered(request->request.id);
+        }
+        OnAnswer(request, term, sent, answer);
+      });
 }
 
 void RequestRunner::OnAnswer(const RequestPtr& request,
@@ -93,7 +141,13 @@
                              Time sent,
                              const MemberAnswer* answer) {
   if (answer == nullptr) {
-    GiveBack(request);
+    if (retry_budget_.TryTake()) {
+      GiveBack(request);
+    } else {
+      request->in_doubt = true;
+      finish_(request, GiveUp(*request, ErrorKind::kConnectionLost,
+                              RetryAfterMs(request->kind.priority)));
+    }
     return;
   }
   queue_.NoteService(timers_.Now() - sent);
@@ -101,7 +155,7 @@
   const auto done = answer->status == MemberStatus::kDone;
   if (!current || answer->term != term) {
     // Said by a primary that has been replaced.
-    done ? GiveBack(request) : Enqueue(request);
+    done ? GiveBack(request) : Requeue(request);
     return;
   }
   leader_.NoteHeard();
@@ -110,14 +164,68 @@
     return;
   }
   leader_.ages().AddSample(sent, {answer->entry_term, answer->position});
+  if (request->settling == Settling::kAbort ||
+      request->settling == Settling::kAbortAfterReuse) {
+    OnAborted(request);
+    return;
+  }
   Confirm(request, *answer);
 }
 
+// Nothing of the request was carried out, and nothing can be any more.
+void RequestRunner::OnAborted(const RequestPtr& request) {
+  const auto& id = request->request.id;
+  finish_(request, request->request.step == Step::kCommit
+                       ? Refusal(id, ErrorKind::kTransactionUnknown, 0)
+                       : Failure(id, ErrorKind::kRejectedByDatabase));
+}
+
+void RequestRunner::Settle(const RequestPtr& request, Settling settling) {
+  if (request->answered) {
+    return;
+  }
+  request->settling = settling;
+  Requeue(request);
+  Pump();
+}
+
+void RequestRunner::OnAbsent(const RequestPtr& request) {
+  if (open_sends_.Contains(request->request.id)) {
+    Settle(request, Settling::kAbort);
+    return;
+  }
+  // The transaction is not open here, and an older epoch or term is fenced.
+  finish_(request,
+          Refusal(request->request.id, ErrorKind::kTransactionUnknown, 0));
+}
+
+void RequestRunner::OnReused(const RequestPtr& request) {
+  switch (request->settling) {
+    case Settling::kLookup:
+      Settle(request, Settling::kAbortAfterReuse);
+      return;
+    case Settling::kAbort:
+      // An earlier sending was carried out meanwhile.
+      Settle(request, request->request.step == Step::kCommit ? Settling::kLookup
+                                                             : Settling::kNone);
+      return;
+    case Settling::kNone:
+    case Settling::kAbortAfterReuse:
+      break;
+  }
+  finish_(request, Failure(request->request.id, ErrorKind::kRequestIdReused));
+}
+
 void RequestRunner::OnRefusedByMember(const RequestPtr& request,
                                       const MemberAnswer& answer) {
   const auto& id = request->request.id;
   switch (answer.status) {
     case MemberStatus::kRejected: {
+      if (open_sends_.Contains(id)) {
+        // An earlier sending may still be carried out.
+        Settle(request, Settling::kAbort);
+        return;
+      }
       auto failure = Failure(id, ErrorKind::kRejectedByDatabase);
       failure.message += " (" + answer.message + ")";
       finish_(request, std::move(failure));
@@ -126,13 +234,19 @@
     case MemberStatus::kExpired:
       finish_(request, InDoubt(id, ErrorKind::kRequestIdTooOld));
       return;
+    case MemberStatus::kReused:
+      OnReused(request);
+      return;
+    case MemberStatus::kAbsent:
+      OnAbsent(request);
+      return;
     case MemberStatus::kFenced:
-      Enqueue(request);
+      Requeue(request);
       fenced_out_();
       return;
     default:
       // Not the primary of this term: it did not run.
-      Enqueue(request);
+      Requeue(request);
       leader_.BeginPromotion();
       return;
   }
@@ -148,7 +262,7 @@
     return;
   }
   // Sent again with the same id: the marker makes it run at most once.
-  queue_.PushFront(request->kind.priority, request);
+  Requeue(request);
 }
 
 void RequestRunner::Confirm(const RequestPtr& request,
@@ -196,6 +310,7 @@
   for (const auto& it : std::exchange(unconfirmed_, {})) {
     GiveBack(it.request);
   }
+  open_sends_.Clear();
 }
 
 void RequestRunner::Forget(const RequestPtr& request) {
@@ -208,8 +323,4 @@
   queue_.Clear();
 }
 
-auto RequestRunner::ExpectedWait(std::int64_t priority) const -> Duration {
-  return queue_.ExpectedWait(priority, config_.slots);
-}
-
 }  // namespace kingcuplock
--- a/kingcuplock/owner/request_runner.h
+++ b/kingcuplock/owner/request_runner.h
@@ -14,8 +14,11 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
-#include "kingcuplock/admission/request_queue.h"
+#include "kingcuplock/admission/admission_queue.h"
+#include "kingcuplock/admission/retry_after.h"
+#include "kingcuplock/admission/retry_budget.h"
 #include "kingcuplock/base/timer_service.h"
 #include "kingcuplock/endpoint/connection_pool.h"
 #include "kingcuplock/owner/group_leader.h"
@@ -37,6 +40,33 @@
                  const std::string& member,
                  bool from_replica) -> CallerAnswer;
 
+/// Ids whose statement was sent in the present term without an answer so far:
+/// each may still be carried out. Not thread safe; O(log n) per operation.
+class OpenSends {
+ public:
+  /// Notes that a statement of `id` is sent.
+  void NoteSent(const std::string& id) { ++sends_[id]; }
+
+  /// Notes that a statement of `id` was answered for good.
+  void NoteAnswered(const std::string& id) {
+    const auto it = sends_.find(id);
+    if (it != sends_.end() && --it->second == 0) {
+      sends_.erase(it);
+    }
+  }
+
+  /// Returns whether a statement of `id` may still be carried out.
+  auto Contains(const std::string& id) const -> bool {
+    return sends_.contains(id);
+  }
+
+  /// Forgets all: a newer term or epoch fences them.
+  void Clear() { sends_.clear(); }
+
+ private:
+  std::map<std::string, int> sends_;
+};
+
 /// Not thread safe.
 class RequestRunner {
  public:
@@ -48,7 +78,8 @@
                 FinishCallback finish,
                 std::function<void()> fenced_out);
 
-  /// Adds a request for the primary.
+  /// Adds a request for the primary. It, or a less urgent one, is refused at
+  /// once if it can't be served by its deadline.
   void Enqueue(const RequestPtr& request);
 
   /// Sends what waits, as far as slots and connections go.
@@ -60,14 +91,28 @@
   /// Takes back what the given-up primary has not been acknowledged for.
   void GiveUpPrimary(const std::string& primary);
 
+  /// Finds out what became of a write in doubt.
+  void Settle(const RequestPtr& request, Settling settling);
+
+  /// Holds an `ok` answer of the primary back until it may be given.
+  void Confirm(const RequestPtr& request, const MemberAnswer& answer);
+
+  /// Returns the sends of this term that have no answer.
+  auto open_sends() -> OpenSends& { return open_sends_; }
+
   /// Forgets a request that waits.
   void Forget(const RequestPtr& request);
 
   /// Forgets all requests.
   void Clear();
 
-  /// Returns how long a new request of `priority` will wait.
-  auto ExpectedWait(std::int64_t priority) const -> Duration;
+  /// Returns the time in ms after which a refused caller may come back.
+  auto RetryAfterMs(std::int64_t priority) -> std::int64_t {
+    return retry_after_.Ms(queue_.ExpectedTime(priority));
+  }
+
+  /// Returns how long one request holds its slot.
+  auto Service() const -> Duration { return queue_.Service(); }
 
   /// Returns the number of requests that wait.
   auto Queued() const -> std::size_t { return queue_.Size(); }
@@ -82,14 +127,19 @@
     bool is_write = false;
   };
 
+  void Requeue(const RequestPtr& request);
+  void Refuse(const std::vector<QueuedItem<RequestPtr>>& late);
   auto PrimaryPool() -> ConnectionPool*;
   void Run(const RequestPtr& request);
   void OnAnswer(const RequestPtr& request,
                 std::int64_t term,
                 Time sent,
                 const MemberAnswer* answer);
+  auto BuildCall(const OwnerRequest& request) const -> MemberRequest;
+  void OnAborted(const RequestPtr& request);
+  void OnAbsent(const RequestPtr& request);
+  void OnReused(const RequestPtr& request);
   void OnRefusedByMember(const RequestPtr& request, const MemberAnswer& answer);
-  void Confirm(const RequestPtr& request, const MemberAnswer& answer);
   void GiveBack(const RequestPtr& request);
 
   const DatabaseConfig& config_;
@@ -99,8 +149,11 @@
   TimerService& timers_;
   FinishCallback finish_;
   std::function<void()> fenced_out_;
-  RequestQueue<RequestPtr> queue_;
+  AdmissionQueue<RequestPtr> queue_;
+  RetryAfter retry_after_;
+  RetryBudget retry_budget_;
   std::list<Unconfirmed> unconfirmed_;
+  OpenSends open_sends_;
 };
 
 }  // namespace kingcuplock
--- a/kingcuplock/runtime/decision_duty.cc
+++ b/kingcuplock/runtime/decision_duty.cc
@@ -16,6 +16,11 @@
       std::chrono::steady_clock::now());
 }
 
+auto WallNow() -> Milliseconds {
+  return std::chrono::duration_cast<Milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
 }  // namespace
 
 DecisionDuty::DecisionDuty(ProxySettings settings,
@@ -36,6 +41,7 @@
   HandOut();
   while (!complete_) {
     timers_.AdvanceTo(ClockNow());
+    timers_.SetWallTime(WallNow());
     // Back-pressure: no new events while earlier actions wait for a ring.
     const auto busy = FlushOverflow() && TakeEvents();
     HandOut();
--- a/kingcuplock/runtime/socket_duty.cc
+++ b/kingcuplock/runtime/socket_duty.cc
@@ -147,7 +147,9 @@
     if (request != nullptr && !overflow_.empty()) {
       ++refused_;
       const auto answer =
-          Refusal(request->id, ErrorKind::kOverloaded, kRingRetryMs);
+          request->repeated
+              ? InDoubt(request->id, ErrorKind::kOverloaded, kRingRetryMs)
+              : Refusal(request->id, ErrorKind::kOverloaded, kRingRetryMs);
       hub_.Send(source, Encode(answer, Format(is_text)), is_text);
       return;
     }
--- a/kingcuplock/schema/messages.h
+++ b/kingcuplock/schema/messages.h
@@ -54,7 +54,10 @@
   kNoManifest,
   kPositionLost,
   kLeaving,
-  kUnauthorized
+  kUnauthorized,
+  kRequestIdReused,
+  kIssueTimeMissing,
+  kTransactionsFull
 };
 
 /// Returns the name of `value` on the wire.
@@ -145,6 +148,9 @@
   std::int64_t patience_ms{10000};
   /// Unix time in ms at which the caller first sent this id.
   std::int64_t issued_ms{};
+  /// Whether this id may have been sent before; then not_run is said only where
+  /// no earlier sending ran either.
+  bool repeated{};
   /// Session token of the last answer; empty for a new session.
   std::string token{};
 
@@ -333,6 +339,9 @@
   std::int64_t id{};
   /// The caller's request with its remaining patience.
   CallerRequest request{};
+  /// The caller's connection at the entry instance, for a fair order between
+  /// callers.
+  std::int64_t caller{};
 
   auto operator==(const Forward&) const -> bool = default;
 };
@@ -490,7 +499,8 @@
   kBehind,
   kAbsent,
   kNoSlot,
-  kExpired
+  kExpired,
+  kReused
 };
 
 /// Returns the name of `value` on the wire.
@@ -534,6 +544,9 @@
   std::string request_id{};
   /// Issue time of the request id, kept with the marker.
   std::int64_t issued_ms{};
+  /// Hash of the request's content, kept with the marker; a different one for
+  /// the same request id is refused.
+  std::string content_hash{};
   /// Statements.
   std::vector<Statement> statements{};
   /// For await_position: longest wait in ms.
--- a/standin/database/database_group.cc
+++ b/standin/database/database_group.cc
@@ -94,7 +94,7 @@
   if (!entry.marker.empty()) {
     member.markers[entry.marker] = {
         static_cast<std::int64_t>(member.log.size()), entry.issued_ms,
-        entry.results};
+        entry.content_hash, entry.results};
   }
 }
 
@@ -233,6 +233,7 @@
   entry.rows.assign(workspace.changes().begin(), workspace.changes().end());
   entry.marker = request.request_id;
   entry.issued_ms = request.issued_ms;
+  entry.content_hash = request.content_hash;
   Commit(member, std::move(entry), now_us);
   auto answer = Stamp(member, request.id, MemberStatus::kDone);
   answer.results = *results;
@@ -316,7 +317,12 @@
   }
   const auto it = member.markers.find(request.request_id);
   if (it == member.markers.end()) {
-    return Stamp(member, request.id, MemberStatus::kAbsent);
+    const auto pruned = request.issued_ms < member.pruned_before_ms;
+    return Stamp(member, request.id,
+                 pruned ? MemberStatus::kExpired : MemberStatus::kAbsent);
+  }
+  if (it->second.content_hash != request.content_hash) {
+    return Stamp(member, request.id, MemberStatus::kReused);
   }
   auto answer = Stamp(member, request.id, MemberStatus::kDone);
   answer.position = it->second.position;
--- a/standin/database/database_group.h
+++ b/standin/database/database_group.h
@@ -35,6 +35,8 @@
   std::string marker;
   /// Issue time of the request id in Unix ms.
   std::int64_t issued_ms = 0;
+  /// Hash of the request's content, kept with the marker.
+  std::string content_hash;
   /// Results kept with the marker.
   std::vector<StatementResult> results;
   /// New value of the epoch row, 0 for unchanged.
@@ -49,6 +51,7 @@
   struct Marker {
     std::int64_t position = 0;
     std::int64_t issued_ms = 0;
+    std::string content_hash;
     std::vector<StatementResult> results;
   };
 
@@ -75,7 +78,7 @@
   explicit DatabaseGroup(const std::vector<std::string>& names);
 
   /// Carries out one request at member `name`. begin, statement, commit and
-  /// rollback are the connection's matter and not known here.
+  /// rollback are a TransactionSession's matter and not known here.
   auto Handle(std::string_view name,
               const MemberRequest& request,
               std::int64_t now_us) -> MemberAnswer;
--- a/standin/database/database_server.cc
+++ b/standin/database/database_server.cc
@@ -41,11 +41,6 @@
   }
 }
 
-auto IsTransactionOp(MemberOp op) -> bool {
-  return op == MemberOp::kBegin || op == MemberOp::kStatement ||
-         op == MemberOp::kCommit || op == MemberOp::kRollback;
-}
-
 }  // namespace
 
 DatabaseServer::DatabaseServer(const DatabaseOptions& options)
@@ -204,74 +199,13 @@
     AnswerWaiting();
     return;
   }
-  const auto answer = IsTransactionOp(request.op)
-                          ? ServeTransaction(connection, request)
-                          : group_.Handle(connection.member, request, NowUs());
+  const auto answer = connection.transaction.Handle(group_, connection.member,
+                                                    request, NowUs());
   Reply(source, answer);
   group_.Replicate(NowUs());
   AnswerWaiting();
 }
 
-auto DatabaseServer::ServeTransaction(Connection& connection,
-                                      const MemberRequest& request)
-    -> MemberAnswer {
-  auto& member = group_.member(connection.member);
-  switch (request.op) {
-    case MemberOp::kBegin:
-      connection.in_transaction = true;
-      connection.statements.clear();
-      connection.results.clear();
-      return DatabaseGroup::Stamp(member, request.id, MemberStatus::kDone);
-    case MemberOp::kStatement: {
-      auto trial = request;
-      trial.statements = connection.statements;
-      trial.statements.insert(trial.statements.end(),
-                              request.statements.begin(),
-                              request.statements.end());
-      auto answer = group_.Preview(connection.member, trial);
-      if (answer.status == MemberStatus::kDone) {
-        const auto seen = connection.results.size();
-        connection.statements = trial.statements;
-        connection.results = answer.results;
-        answer.results.erase(
-            answer.results.begin(),
-            answer.results.begin() + static_cast<std::ptrdiff_t>(seen));
-      }
-      return answer;
-    }
-    case MemberOp::kCommit:
-      return CommitTransaction(connection, request);
-    default:
-      connection.in_transaction = false;
-      connection.statements.clear();
-      return DatabaseGroup::Stamp(member, request.id, MemberStatus::kDone);
-  }
-}
-
-auto DatabaseServer::CommitTransaction(Connection& connection,
-                                       const MemberRequest& request)
-    -> MemberAnswer {
-  auto& member = group_.member(connection.member);
-  auto commit = request;
-  commit.op = MemberOp::kExecute;
-  commit.statements = std::exchange(connection.statements, {});
-  if (!std::exchange(connection.in_transaction, false)) {
-    auto answer =
-        DatabaseGroup::Stamp(member, request.id, MemberStatus::kRejected);
-    answer.message = "no transaction is open on this connection";
-    return answer;
-  }
-  const auto now = group_.Preview(connection.member, commit);
-  const auto replay = member.markers.contains(request.request_id);
-  if (!replay && now.results != connection.results) {
-    auto answer =
-        DatabaseGroup::Stamp(member, request.id, MemberStatus::kRejected);
-    answer.message = "rows read by the transaction have changed";
-    return answer;
-  }
-  return group_.Handle(connection.member, commit, NowUs());
-}
-
 void DatabaseServer::Reply(ConnectionId source, const MemberAnswer& answer) {
   const auto it = connections_.find(source);
   if (it == connections_.end()) {
--- a/standin/database/database_server.h
+++ b/standin/database/database_server.h
@@ -21,6 +21,7 @@
 #include "kingcuplock/schema/messages.h"
 #include "kingcuplock/transport/web_socket_hub.h"
 #include "standin/database/database_group.h"
+#include "standin/database/transaction_session.h"
 
 namespace kingcuplock {
 
@@ -59,9 +60,7 @@
     std::string member;
     std::int64_t ready_us = 0;
     bool silent = false;
-    bool in_transaction = false;
-    std::vector<Statement> statements;
-    std::vector<StatementResult> results;
+    TransactionSession transaction;
   };
   struct Waiting {
     ConnectionId connection = 0;
@@ -91,10 +90,6 @@
   void RunInSlot(const std::string& member, std::function<void()> work);
   void FinishSlot(const std::string& member);
   void Serve(ConnectionId source, const MemberRequest& request);
-  auto ServeTransaction(Connection& connection, const MemberRequest& request)
-      -> MemberAnswer;
-  auto CommitTransaction(Connection& connection, const MemberRequest& request)
-      -> MemberAnswer;
   void Reply(ConnectionId source, const MemberAnswer& answer);
   void SendNow(ConnectionId source, const MemberAnswer& answer);
   void AnswerWaiting();
--- a/testing/node_fixture.cc
+++ b/testing/node_fixture.cc
@@ -46,6 +46,7 @@
     database.slots = options.slots;
     database.connections = options.connections;
     database.acknowledgement = options.acknowledgement;
+    database.marker_retention_ms = options.marker_retention_ms;
     constexpr std::int64_t kStaleAgeMs = 5000;
     database.kinds = {MakeKind("write", Access::kWrite, 0),
                       MakeKind("fresh", Access::kRead, 0),
@@ -183,6 +184,8 @@
   it.held.clear();
   it.node.reset();
   it.timers = std::make_unique<TimerService>(now_);
+  it.timers->SetWallTime(
+      std::chrono::duration_cast<Milliseconds>(now_.time_since_epoch()));
   it.outbox = std::make_unique<Outbox>();
   it.node = std::make_unique<Node>(
       settings, settings.instance + "@" + std::to_string(++it.run), *it.timers,
@@ -260,7 +263,10 @@
     });
     return;
   }
-  At(Delay() + Delay(), [this, node, id, reachable, run] {
+  const auto opening = open.kind == ConnectionKind::kMember
+                           ? Duration(options_.opening_us)
+                           : Duration::zero();
+  At(Delay() + Delay() + opening, [this, node, id, reachable, run] {
     auto* found = FindLink(node, id);
     if (found == nullptr || nodes_[node].run != run) {
       return;
@@ -281,9 +287,12 @@
 }
 
 void NodeFixture::Close(std::size_t node, ConnectionId connection) {
-  if (nodes_[node].links.erase(connection) == 0) {
+  const auto* link = FindLink(node, connection);
+  if (link == nullptr) {
     return;
   }
+  EndInbound(*link);
+  nodes_[node].links.erase(connection);
   watches_.erase({node, connection});
   const auto run = nodes_[node].run;
   At(Duration::zero(), [this, node, connection, run] {
@@ -293,6 +302,17 @@
   });
 }
 
+// The other end of a peer link notices that it ended.
+void NodeFixture::EndInbound(const Link& link) {
+  if (link.kind != ConnectionKind::kPeer || !link.open) {
+    return;
+  }
+  At(Delay(), [this, peer = link.peer, remote = link.remote_id] {
+    inbound_.erase({peer, remote});
+    Deliver(peer, ConnectionClosed{remote});
+  });
+}
+
 auto NodeFixture::FindLink(std::size_t node, ConnectionId id) -> Link* {
   const auto it = nodes_[node].links.find(id);
   return it == nodes_[node].links.end() ? nullptr : &it->second;
@@ -367,7 +387,15 @@
     return;
   }
   const auto now_us = now_.time_since_epoch().count();
-  ReplyMember(node, id, name, target.Handle(name, request, now_us));
+  // A transaction ends with its connection.
+  TransactionSession ended;
+  auto* link = FindLink(node, id);
+  auto& session = link == nullptr ? ended : link->transaction;
+  auto marked = request;
+  if (!options_.markers && request.op != MemberOp::kLookup) {
+    marked.request_id.clear();
+  }
+  ReplyMember(node, id, name, session.Handle(target, name, marked, now_us));
   target.Replicate(now_us);
   AnswerWaiting();
 }
@@ -631,6 +659,9 @@
   auto& it = nodes_[node];
   it.alive = false;
   ++it.run;
+  for (const auto& [id, link] : it.links) {
+    EndInbound(link);
+  }
   it.links.clear();
   std::erase_if(watches_,
                 [&](const auto& entry) { return entry.first.first == node; });
--- a/testing/node_fixture.h
+++ b/testing/node_fixture.h
@@ -25,6 +25,7 @@
 #include "kingcuplock/schema/manifest.h"
 #include "kingcuplock/schema/messages.h"
 #include "standin/database/database_group.h"
+#include "standin/database/transaction_session.h"
 #include "standin/store/key_value_store.h"
 
 namespace kingcuplock {
@@ -47,6 +48,12 @@
   std::int64_t service_us = 500;
   /// Acknowledgement of every database.
   AcknowledgementMode acknowledgement = AcknowledgementMode::kReplicated;
+  /// Time in ms for which every database keeps request ids.
+  std::int64_t marker_retention_ms = 86'400'000;
+  /// Whether members keep markers; false shows what they are for.
+  bool markers = true;
+  /// Time in microseconds that a member takes to open a connection.
+  std::int64_t opening_us = 0;
 };
 
 /// An answer that a caller got, and when.
@@ -161,6 +168,7 @@
     ConnectionId remote_id = 0;
     bool open = false;
     bool silent = false;
+    TransactionSession transaction;
   };
   struct Instance {
     std::unique_ptr<TimerService> timers;
@@ -216,6 +224,7 @@
                    const MemberAnswer& answer);
   void AnswerWaiting();
   void PushStoreEvents();
+  void EndInbound(const Link& link);
   void DropLinksTo(const std::string& member);
   void CountConnections(const std::string& member);
   auto FindLink(std::size_t node, ConnectionId id) -> Link*;
