--- a/kingcuplock/owner/replica_reader.cc
+++ b/kingcuplock/owner/replica_reader.cc
@@ -178,6 +178,7 @@
   read.statements = request->request.statements;
   auto attempt = std::make_shared<Attempt>(Attempt{request, member});
   attempts_.push_back(attempt);
+  request->at_member = true;
   pools_.at(member)->Run(std::move(read), kStatementTimeout,
                          [this, attempt](const MemberAnswer* answer) {
                            OnAnswer(attempt, answer);
@@ -191,6 +192,8 @@
   }
   std::erase(attempts_, attempt);
   const auto& request = attempt->request;
+  request->at_member = false;
+  request->in_doubt = true;
   if (request->answered) {
     return;
   }
@@ -218,6 +221,8 @@
   for (const auto& it : silent) {
     it->abandoned = true;
     std::erase(attempts_, it);
+    it->request->at_member = false;
+    it->request->in_doubt = true;
     if (!it->request->answered && !TryServe(it->request)) {
       elsewhere_(it->request);
     }
--- a/kingcuplock/owner/replica_reader.h
+++ b/kingcuplock/owner/replica_reader.h
@@ -46,6 +46,9 @@
   /// respond. To be called after every sample. O(requests waiting).
   void OnSampled();
 
+  /// Returns the number of requests that wait.
+  auto Queued() const -> std::size_t { return waiting_.size(); }
+
   /// Forgets a request that waits.
   void Forget(const RequestPtr& request);
 
--- a/kingcuplock/schema/messages.cc
+++ b/kingcuplock/schema/messages.cc
@@ -24,7 +24,7 @@
 }
 
 namespace {
-constexpr std::array<std::string_view, 23> kErrorKindNames{
+constexpr std::array<std::string_view, 26> kErrorKindNames{
     "none",
     "bad_frame",
     "too_large",
@@ -47,7 +47,10 @@
     "no_manifest",
     "position_lost",
     "leaving",
-    "unauthorized"};
+    "unauthorized",
+    "request_id_reused",
+    "issue_time_missing",
+    "transactions_full"};
 }  // namespace
 
 auto ToString(ErrorKind value) -> std::string_view {
@@ -140,6 +143,7 @@
                           kDefaults.patience_ms);
   internal::WriteOptional(out, "issued_ms", value.issued_ms,
                           kDefaults.issued_ms);
+  internal::WriteOptional(out, "repeated", value.repeated, kDefaults.repeated);
   internal::WriteOptional(out, "token", value.token, kDefaults.token);
 }
 
@@ -153,6 +157,7 @@
   internal::ReadOptional(in, "statements", value.statements);
   internal::ReadOptional(in, "patience_ms", value.patience_ms);
   internal::ReadOptional(in, "issued_ms", value.issued_ms);
+  internal::ReadOptional(in, "repeated", value.repeated);
   internal::ReadOptional(in, "token", value.token);
 }
 
@@ -345,14 +350,17 @@
 void to_json(nlohmann::json& out, const Forward& value) {
   out = nlohmann::json::object();
   out["type"] = "forward";
+  static const Forward kDefaults;
   out["id"] = value.id;
   out["request"] = value.request;
+  internal::WriteOptional(out, "caller", value.caller, kDefaults.caller);
 }
 
 void from_json(const nlohmann::json& in, Forward& value) {
   internal::RequireObject(in, "Forward");
   internal::ReadRequired(in, "id", value.id);
   internal::ReadRequired(in, "request", value.request);
+  internal::ReadOptional(in, "caller", value.caller);
 }
 
 void to_json(nlohmann::json& out, const ForwardAnswer& value) {
@@ -466,9 +474,9 @@
 }
 
 namespace {
-constexpr std::array<std::string_view, 9> kMemberStatusNames{
+constexpr std::array<std::string_view, 10> kMemberStatusNames{
     "done",   "rejected", "fenced",  "not_primary", "stale_term",
-    "behind", "absent",   "no_slot", "expired"};
+    "behind", "absent",   "no_slot", "expired",     "reused"};
 }  // namespace
 
 auto ToString(MemberStatus value) -> std::string_view {
@@ -517,6 +525,8 @@
                           kDefaults.request_id);
   internal::WriteOptional(out, "issued_ms", value.issued_ms,
                           kDefaults.issued_ms);
+  internal::WriteOptional(out, "content_hash", value.content_hash,
+                          kDefaults.content_hash);
   internal::WriteOptional(out, "statements", value.statements,
                           kDefaults.statements);
   internal::WriteOptional(out, "wait_ms", value.wait_ms, kDefaults.wait_ms);
@@ -533,6 +543,7 @@
   internal::ReadOptional(in, "primary", value.primary);
   internal::ReadOptional(in, "request_id", value.request_id);
   internal::ReadOptional(in, "issued_ms", value.issued_ms);
+  internal::ReadOptional(in, "content_hash", value.content_hash);
   internal::ReadOptional(in, "statements", value.statements);
   internal::ReadOptional(in, "wait_ms", value.wait_ms);
 }
