Replica reads: refuse early, spare the primary, wait only for replicas that will be fresh in time

Cause: reads that waited for a slot stayed until their deadline, also when every replica was gone; a stalled replica held its reads for 1 s. Now a read moves to the primary only while that keeps a slot free, is refused at once if the wait exceeds its patience, waits for a replica's catching up only if the replica's distance says 30 ms or less, and while no primary serves it waits for the replicas' first samples.

--- a/benchmarks/reads/main.cc
+++ b/benchmarks/reads/main.cc
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,7 +30,8 @@
 constexpr Milliseconds kFaultEnds{10'000};
 /// Time in microseconds that a member takes for a statement.
 constexpr std::int64_t kServiceUs = 5000;
-constexpr std::size_t kSessions = 400;
+/// Rows that are written and read.
+constexpr std::size_t kRows = 400;
 constexpr std::int64_t kPatienceMs = 2000;
 /// Requests at the primary, as parts of one member's capacity.
 constexpr double kWriteLoad = 0.15;
@@ -50,7 +52,8 @@
     Deployment{"siam", 5, 50, 1000, 10'000}};
 
 /// One situation: stale reads as a part of both replicas' capacity, the lag of
-/// both as a part of the age, and what breaks and is mended.
+/// both as a part of the age, or in ms from 1 on, and what breaks and is
+/// mended.
 struct Scenario {
   std::string name;
   double load = 0.4;
@@ -68,6 +71,7 @@
   out.push_back({"steady", 0.4, 0});
   out.push_back({"lag 20% of age", 0.4, 0.2});
   out.push_back({"lag 80% of age", 0.4, 0.8});
+  out.push_back({"lag 20 ms", 0.4, 20});
   out.push_back({"95% of capacity", 0.95, 0});
   out.push_back({"150% of capacity", 1.5, 0});
   out.push_back({"one replica stalled", 0.4, 0,
@@ -90,24 +94,35 @@
   int from_replica = 0;
   int too_old = 0;
   int behind = 0;
-  int primary_ok = 0;
+  int reachable = 0;
+  int reachable_from_replica = 0;
   std::vector<double> latencies_ms;
+  int fresh_asked = 0;
+  std::vector<double> fresh_latencies_ms;
   std::map<std::string, int> by_member;
 };
 
 /// Open-loop callers of one run.
 class Load {
  public:
-  Load(NodeFixture& fixture, const Deployment& deployment, double stale_load)
-      : fixture_(fixture),
-        tokens_(kSessions),
-        taken_(fixture.answers().size()) {
-    const auto capacity =
-        1e6 * static_cast<double>(deployment.slots) / kServiceUs;
+  Load(NodeFixture& fixture,
+       const Deployment& deployment,
+       double stale_load,
+       double think_s)
+      : fixture_(fixture), taken_(fixture.answers().size()) {
+    // A slot is taken for the way to the member and back as well.
+    const auto held_us =
+        static_cast<double>(kServiceUs + deployment.one_way_us);
+    const auto capacity = 1e6 * static_cast<double>(deployment.slots) / held_us;
     rates_ = {2 * stale_load * capacity, kWriteLoad * capacity,
               kFreshLoad * capacity};
+    tokens_.resize(static_cast<std::size_t>(
+        think_s * (rates_[0] + rates_[1] + rates_[2])));
   }
 
+  /// Returns ids of stale reads that some replica could serve when sent.
+  auto reachable() const -> const std::set<std::string>& { return reachable_; }
+
   void RunFor(Duration duration) {
     const auto until = fixture_.Now() + duration;
     const auto total = rates_[0] + rates_[1] + rates_[2];
@@ -124,9 +139,9 @@
   void SendOne(double total) {
     std::uniform_real_distribution<double> dice(0, total);
     const auto n = dice(fixture_.random());
-    const auto session = fixture_.random()() % kSessions;
+    const auto session = fixture_.random()() % tokens_.size();
     const auto id = fmt::format("{}-{}", session, ++last_);
-    const auto key = fmt::format("row{}", fixture_.random()() % kSessions);
+    const auto key = fmt::format("row{}", fixture_.random()() % kRows);
     auto request = fixture_.Get(id, n < rates_[0] ? "stale" : "fresh", key);
     if (n >= rates_[0] && n < rates_[0] + rates_[1]) {
       request = fixture_.Append(id, key, "");
@@ -138,9 +153,22 @@
     while (!fixture_.IsAlive(node)) {
       node = (node + 1) % fixture_.nodes();
     }
+    if (request.kind == "stale" && IsReachable(request)) {
+      reachable_.insert(id);
+    }
     fixture_.Send(node, request);
   }
 
+  auto IsReachable(const CallerRequest& request) -> bool {
+    const auto seen =
+        SessionToken::Parse(request.token).PlaceIn("db0").position;
+    const auto& members = fixture_.group("db0").members();
+    return std::any_of(members.begin(), members.end(), [&](const auto& it) {
+      return it.role == MemberRole::kReplica && it.alive && !it.paused &&
+             static_cast<std::int64_t>(it.log.size()) >= seen;
+    });
+  }
+
   void TakeTokens() {
     for (; taken_ < fixture_.answers().size(); ++taken_) {
       const auto& answer = fixture_.answers()[taken_].answer;
@@ -151,16 +179,35 @@
 
   NodeFixture& fixture_;
   std::vector<std::string> tokens_;
+  std::set<std::string> reachable_;
   std::size_t taken_;
   std::array<double, 3> rates_{};
   int last_ = 0;
 };
 
-void Count(NodeFixture& fixture, const Deployment& deployment, Result& out) {
+auto LatencyMs(const FixtureAnswer& it) -> double {
+  return std::chrono::duration<double, std::milli>(it.answered - it.asked)
+      .count();
+}
+
+void CountFresh(const FixtureAnswer& it, Result& out) {
+  if (it.request.kind != "fresh") {
+    return;
+  }
+  ++out.fresh_asked;
+  if (it.answer.status == Status::kOk) {
+    out.fresh_latencies_ms.push_back(LatencyMs(it));
+  }
+}
+
+void Count(NodeFixture& fixture,
+           const Deployment& deployment,
+           const std::set<std::string>& reachable,
+           Result& out) {
   const auto& log = fixture.Primary("db0").log;
   for (const auto& it : fixture.answers()) {
     if (it.request.kind != "stale") {
-      out.primary_ok += it.answer.status == Status::kOk ? 1 : 0;
+      CountFresh(it, out);
       continue;
     }
     ++out.asked;
@@ -170,20 +217,23 @@
     ++out.ok;
     ++out.by_member[it.answer.served_by];
     out.from_replica += it.answer.from_replica ? 1 : 0;
+    if (reachable.contains(it.answer.id)) {
+      ++out.reachable;
+      out.reachable_from_replica += it.answer.from_replica ? 1 : 0;
+    }
     const auto age = TrueAge(log, it.answer.position, it.answered);
     out.too_old += age > Milliseconds(deployment.age_ms) + kWayBack ? 1 : 0;
     const auto seen =
         SessionToken::Parse(it.request.token).PlaceIn("db0").position;
     out.behind += it.answer.position < seen ? 1 : 0;
-    out.latencies_ms.push_back(
-        std::chrono::duration<double, std::milli>(it.answered - it.asked)
-            .count());
+    out.latencies_ms.push_back(LatencyMs(it));
   }
 }
 
 void RunOnce(const Deployment& deployment,
              const Scenario& scenario,
              std::uint64_t seed,
+             double think_s,
              Result& out) {
   FixtureOptions options;
   options.seed = seed;
@@ -194,22 +244,24 @@
   options.service_us = kServiceUs;
   options.stale_age_ms = deployment.age_ms;
   // With both replicas lagging, writes that wait for one would tell nothing.
-  options.acknowledgement = scenario.lag > 0 ? AcknowledgementMode::kPrimary
-                                             : AcknowledgementMode::kReplicated;
+  options.acknowledgement = scenario.lag > 0 && scenario.lag < 1
+                                ? AcknowledgementMode::kPrimary
+                                : AcknowledgementMode::kReplicated;
   NodeFixture fixture(options);
   fixture.Settle();
-  const auto lag = static_cast<std::int64_t>(
-      scenario.lag * static_cast<double>(deployment.age_ms));
+  const auto unit =
+      scenario.lag < 1 ? static_cast<double>(deployment.age_ms) : 1.0;
+  const auto lag = static_cast<std::int64_t>(scenario.lag * unit);
   fixture.SetLag("db0-2", Milliseconds(lag));
   fixture.SetLag("db0-3", Milliseconds(lag));
-  Load load(fixture, deployment, scenario.load);
+  Load load(fixture, deployment, scenario.load, think_s);
   load.RunFor(kFaultAt);
   scenario.breaks(fixture);
   load.RunFor(kFaultEnds - kFaultAt);
   scenario.mends(fixture);
   load.RunFor(kRunTime - kFaultEnds);
   fixture.RunFor(Milliseconds(kPatienceMs + 500));
-  Count(fixture, deployment, out);
+  Count(fixture, deployment, load.reachable(), out);
 }
 
 auto Quantile(std::vector<double> values, double q) -> double {
@@ -234,15 +286,21 @@
     members += fmt::format(" {}={}", name, n);
   }
   fmt::print(
-      "{:10} {:20} asked {:6} ok {:6.2f}% replicas {:6.2f}% p50 {:6.1f} ms "
-      "p99 {:7.1f} ms too old {} behind {} |{}\n",
+      "{:10} {:20} asked {:6} ok {:6.2f}% replicas {:6.2f}% of reachable "
+      "{:6.2f}% p50 {:6.1f} ms "
+      "p99 {:7.1f} ms fresh ok {:6.2f}% p50 {:5.1f} p99 {:6.1f} too old {} "
+      "behind {} |{}\n",
       deployment.name, scenario.name, it.asked, percent(it.ok, it.asked),
-      percent(it.from_replica, it.ok), Quantile(it.latencies_ms, 0.5),
-      Quantile(it.latencies_ms, 0.99), it.too_old, it.behind, members);
+      percent(it.from_replica, it.ok),
+      percent(it.reachable_from_replica, it.reachable),
+      Quantile(it.latencies_ms, 0.5), Quantile(it.latencies_ms, 0.99),
+      percent(static_cast<int>(it.fresh_latencies_ms.size()), it.fresh_asked),
+      Quantile(it.fresh_latencies_ms, 0.5),
+      Quantile(it.fresh_latencies_ms, 0.99), it.too_old, it.behind, members);
   std::fflush(stdout);
 }
 
-void RunAll(std::uint64_t seeds, const std::string& only) {
+void RunAll(std::uint64_t seeds, double think_s, const std::string& only) {
   for (const auto& deployment : kDeployments) {
     for (const auto& scenario : MakeScenarios()) {
       if (!only.empty() && scenario.name.find(only) == std::string::npos) {
@@ -250,7 +308,7 @@
       }
       Result result;
       for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        RunOnce(deployment, scenario, seed, result);
+        RunOnce(deployment, scenario, seed, think_s, result);
       }
       Print(deployment, scenario, result);
     }
@@ -263,10 +321,13 @@
 auto main(int argc, char** argv) -> int {
   CLI::App app("Share of stale reads served by replicas, on virtual time");
   std::uint64_t seeds = 1;
+  double think_s = 10;
   std::string only;
   app.add_option("--seeds", seeds, "Runs per scenario, from seed 1");
+  app.add_option("--think", think_s,
+                 "Mean time in s between two requests of a session");
   app.add_option("--only", only, "Part of the name of the scenarios to run");
   CLI11_PARSE(app, argc, argv);
-  kingcuplock::RunAll(seeds, only);
+  kingcuplock::RunAll(seeds, think_s, only);
   return 0;
 }
--- a/kingcuplock/node/session_consistency_test.cc
+++ b/kingcuplock/node/session_consistency_test.cc
@@ -161,7 +161,9 @@
     "read is older than stated, under random failures") {
   CrowdTally sum;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    NodeFixture fixture({.seed = seed, .nodes = 3});
+    const auto mode = seed % 2 == 0 ? AcknowledgementMode::kPrimary
+                                    : AcknowledgementMode::kReplicated;
+    NodeFixture fixture({.seed = seed, .nodes = 3, .acknowledgement = mode});
     fixture.Settle();
     SessionCrowd crowd(fixture, {.seed = seed});
     FaultSchedule faults(fixture, crowd, seed);
@@ -188,21 +190,29 @@
   CHECK(sum.position_lost > 0);
 }
 
-TEST_CASE("Data that only a dead primary held is position_lost, not less") {
-  NodeFixture fixture({.seed = 5, .nodes = 3});
-  fixture.Settle();
+/// Leads a session to see "a,b", of which "b" dies with the primary.
+auto SeeLostData(NodeFixture& fixture) -> CallerAnswer {
   REQUIRE(fixture.Ask(0, fixture.Append("w1", "row", "a")).status ==
           Status::kOk);
   const auto old_primary = fixture.Primary("db0").name;
+  fixture.RunFor(Milliseconds(100));
   fixture.IsolateMember(old_primary, true);
-  auto doubtful = fixture.Append("w2", "row", "b");
-  doubtful.patience_ms = 200;
-  CHECK(fixture.Ask(0, doubtful).status == Status::kUnknown);
-  const auto seen = fixture.Ask(1, fixture.Get("r1", "fresh", "row"));
+  REQUIRE(fixture.Ask(0, fixture.Append("w2", "row", "b")).status ==
+          Status::kOk);
+  auto seen = fixture.Ask(1, fixture.Get("r1", "fresh", "row"));
   REQUIRE(seen.results.at(0).value == "a,b");
   fixture.KillMember(old_primary);
   REQUIRE(fixture.Ask(1, fixture.Append("w3", "row", "c")).status ==
           Status::kOk);
+  return seen;
+}
+
+TEST_CASE("Data that only a dead primary held is position_lost, not less") {
+  NodeFixture fixture({.seed = 5,
+                       .nodes = 3,
+                       .acknowledgement = AcknowledgementMode::kPrimary});
+  fixture.Settle();
+  const auto seen = SeeLostData(fixture);
   for (const auto* kind : {"fresh", "stale"}) {
     auto read = fixture.Get(std::string("lost-") + kind, kind, "row");
     read.token = seen.token;
@@ -229,6 +239,89 @@
   }
 }
 
+TEST_CASE("With replicated acknowledgement no session sees what may be lost") {
+  NodeFixture fixture({.seed = 7, .nodes = 3});
+  fixture.Settle();
+  REQUIRE(fixture.Ask(0, fixture.Append("w1", "row", "a")).status ==
+          Status::kOk);
+  fixture.RunFor(Milliseconds(100));
+  fixture.IsolateMember(fixture.Primary("db0").name, true);
+  for (auto n = 0; n < 2; ++n) {
+    auto request = n == 0 ? fixture.Append("w2", "row", "b")
+                          : fixture.Get("r1", "fresh", "row");
+    request.patience_ms = 300;
+    CHECK(fixture.Ask(1, request).status != Status::kOk);
+  }
+  const auto stale = fixture.Ask(1, fixture.Get("r2", "stale", "row"));
+  CHECK(stale.results.at(0).value == "a");
+}
+
+TEST_CASE("A replaced primary that still answers keeps no replica fresh") {
+  NodeFixture fixture({.seed = 8,
+                       .nodes = 2,
+                       .acknowledgement = AcknowledgementMode::kPrimary});
+  fixture.Settle();
+  REQUIRE(fixture.Ask(0, fixture.Append("w1", "row", "a")).status ==
+          Status::kOk);
+  fixture.RunFor(Milliseconds(100));
+  const auto old_owner = fixture.OwnerOf("db0");
+  const auto new_owner = 1 - old_owner;
+  const auto old_primary = fixture.Primary("db0").name;
+  // The old owner and the old primary see each other and one replica only.
+  fixture.CutStore(old_owner, true);
+  fixture.CutPeers(old_owner, new_owner, true);
+  fixture.CutMember(new_owner, old_primary, true);
+  fixture.CutMember(old_owner, "db0-2", true);
+  fixture.IsolateMember(old_primary, true);
+  fixture.IsolateMember("db0-3", true);
+  fixture.RunFor(Milliseconds(4000));
+  REQUIRE(fixture.Ask(new_owner, fixture.Append("w2", "row", "b")).status ==
+          Status::kOk);
+  fixture.RunFor(kStaleAge + Milliseconds(1000));
+  auto read = fixture.Get("r1", "stale", "row");
+  read.patience_ms = 500;
+  const auto answer = fixture.Ask(old_owner, read);
+  CHECK(answer.status != Status::kOk);
+}
+
+TEST_CASE("A replica that stops answering delays reads but little") {
+  NodeFixture fixture({.seed = 9, .nodes = 3});
+  fixture.Settle();
+  for (const auto* name : {"db0-2", "db0-3"}) {
+    fixture.PauseMember(name, true);
+    for (auto n = 0; n < 20; ++n) {
+      const auto asked = fixture.Now();
+      const auto id = std::string(name) + "-" + std::to_string(n);
+      const auto answer = fixture.Ask(1, fixture.Get(id, "stale", "row"));
+      CHECK(answer.from_replica);
+      CHECK(fixture.Now() - asked < Milliseconds(400));
+    }
+    fixture.PauseMember(name, false);
+    fixture.RunFor(Milliseconds(500));
+  }
+}
+
+TEST_CASE("More stale reads than replicas can serve spare the primary") {
+  NodeFixture fixture({.seed = 10, .nodes = 3, .service_us = 5000});
+  fixture.Settle();
+  for (auto n = 0; n < 2000; ++n) {
+    auto read = fixture.Get("s" + std::to_string(n), "stale", "row");
+    read.patience_ms = 500;
+    fixture.Send(static_cast<std::size_t>(n) % 3, read);
+    fixture.RunFor(Duration(500));
+  }
+  const auto asked = fixture.Now();
+  CHECK(fixture.Ask(0, fixture.Append("w1", "row", "a")).status == Status::kOk);
+  CHECK(fixture.Now() - asked < Milliseconds(30));
+  fixture.RunFor(Milliseconds(1500));
+  const auto refused_at_once = std::count_if(
+      fixture.answers().begin(), fixture.answers().end(), [](const auto& it) {
+        return it.answer.error == ErrorKind::kOverloaded &&
+               it.answered - it.asked < Milliseconds(20);
+      });
+  CHECK(refused_at_once > 500);
+}
+
 TEST_CASE("A forged token costs one read and only its own session") {
   NodeFixture fixture({.seed = 6, .nodes = 3});
   fixture.Settle();
--- a/kingcuplock/owner/replica_reader.cc
+++ b/kingcuplock/owner/replica_reader.cc
@@ -1,15 +1,18 @@
 #include "kingcuplock/owner/replica_reader.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
+#include "kingcuplock/owner/answers.h"
+
 namespace kingcuplock {
 namespace {
 
 /// Longest time in ms that one statement may take at a replica.
 constexpr Milliseconds kStatementTimeout{1000};
-/// Longest wait in ms for a slot before the read goes to the primary.
+/// Wait in ms for a slot after which the read may go to the primary.
 constexpr Milliseconds kMaxSlotWait{250};
 /// Longest wait in ms for a replica that is behind the session.
 constexpr Milliseconds kMaxCatchUpWait{30};
@@ -57,13 +60,15 @@
   }
   // No replica will ever reach a forged place.
   const auto is_reachable = need.seen <= leader_.PrimaryPlace();
-  return is_reachable && Check().MayTrySoon(need, place, now) ? Chance::kSoon
-                                                              : Chance::kNone;
+  return is_reachable && Check().MayTrySoon(need, place, now, kMaxCatchUpWait)
+             ? Chance::kSoon
+             : Chance::kNone;
 }
 
 auto ReplicaReader::BestChance(const OwnerRequest& request,
                                std::string& member) const -> Chance {
   auto best = Chance::kNone;
+  member.clear();
   for (const auto& [name, pool] : pools_) {
     const auto chance = ChanceAt(name, request);
     const auto less_loaded = chance == best && !member.empty() &&
@@ -73,7 +78,8 @@
       member = name;
     }
   }
-  return best;
+  // The primary could not serve it now either.
+  return best == Chance::kNone && !leader_.IsServing() ? Chance::kSoon : best;
 }
 
 auto ReplicaReader::TryServe(const RequestPtr& request) -> bool {
@@ -83,90 +89,136 @@
     return false;
   }
   std::string member;
-  const auto chance = BestChance(*request, member);
-  if (chance == Chance::kNow) {
-    Run(member, request);
-  } else if (chance != Chance::kNone) {
-    Wait(request, chance);
+  switch (BestChance(*request, member)) {
+    case Chance::kNow:
+      Run(member, request);
+      return true;
+    case Chance::kBusy:
+      WaitForSlot(request);
+      return true;
+    case Chance::kSoon:
+      WaitForCatchUp(request);
+      return true;
+    case Chance::kNone:
+      break;
+  }
+  return false;
+}
+
+// ------------------------------------------------------ waiting for a slot
+
+auto ReplicaReader::ExpectedSlotWait() const -> Duration {
+  std::int64_t slots = 0;
+  for (const auto& [name, pool] : pools_) {
+    const auto serves = name != leader_.primary() && leader_.Responds(name);
+    slots += serves ? config_.slots : 0;
+  }
+  return service_ * static_cast<std::int64_t>(waiting_.size()) /
+         std::max<std::int64_t>(slots, 1);
+}
+
+void ReplicaReader::WaitForSlot(const RequestPtr& request) {
+  const auto wait = ExpectedSlotWait();
+  if (timers_.Now() + wait > request->deadline) {
+    const auto wait_ms = std::chrono::duration_cast<Milliseconds>(wait).count();
+    finish_(request,
+            Refusal(request->request.id, ErrorKind::kOverloaded, wait_ms));
+    return;
+  }
+  auto before = waiting_.end();
+  while (before != waiting_.begin() &&
+         std::prev(before)->request->kind.priority > request->kind.priority) {
+    --before;
+  }
+  waiting_.insert(before, {request, timers_.Now()});
+}
+
+/// Only while the primary keeps a slot free for what must run there.
+auto ReplicaReader::MaySpill(const SlotWait& waiting) const -> bool {
+  const auto primary = pools_.find(leader_.primary());
+  const auto has_room = primary != pools_.end() && leader_.IsServing() &&
+                        primary->second->HasFree() &&
+                        primary->second->Running() + 2 <= config_.slots;
+  return has_room && timers_.Now() - waiting.since >= kMaxSlotWait;
+}
+
+void ReplicaReader::Pump() {
+  std::string member;
+  while (!waiting_.empty()) {
+    const auto waiting = waiting_.front();
+    const auto chance = BestChance(*waiting.request, member);
+    if (chance == Chance::kBusy && !MaySpill(waiting)) {
+      return;
+    }
+    waiting_.pop_front();
+    if (chance == Chance::kNow) {
+      Run(member, waiting.request);
+    } else if (chance == Chance::kSoon) {
+      WaitForCatchUp(waiting.request);
+    } else {
+      elsewhere_(waiting.request);
+    }
   }
-  return chance != Chance::kNone;
 }
 
-// ---------------------------------------------------------------- waiting
+// ----------------------------------------------------- waiting to catch up
 
-void ReplicaReader::Wait(const RequestPtr& request, Chance chance) {
-  const Duration longest =
-      chance == Chance::kBusy ? kMaxSlotWait : kMaxCatchUpWait;
+void ReplicaReader::WaitForCatchUp(const RequestPtr& request) {
+  const Duration longest = leader_.IsServing() ? kMaxCatchUpWait : kMaxSlotWait;
   const auto timer =
-      timers_.After(longest, [this, request] { GiveUp(request); });
-  const auto before =
-      std::find_if(waiting_.begin(), waiting_.end(), [&](const auto& it) {
-        return it.request->kind.priority > request->kind.priority;
-      });
-  waiting_.insert(before, {request, timers_.Now() + longest, timer, chance});
+      timers_.After(longest, [this, request] { GiveUpCatchUp(request); });
+  catching_up_.push_back({request, timer});
 }
 
-void ReplicaReader::GiveUp(const RequestPtr& request) {
+void ReplicaReader::GiveUpCatchUp(const RequestPtr& request) {
   Forget(request);
   if (!request->answered) {
     elsewhere_(request);
   }
 }
 
-void ReplicaReader::Pump() {
-  LookAgain(Chance::kBusy);
-}
-
 void ReplicaReader::OnSampled() {
   TakeBackSilent();
-  LookAgain(Chance::kSoon);
+  TryCatchUps();
+  Pump();
 }
 
-void ReplicaReader::LookAgain(Chance least) {
-  std::vector<RequestPtr> hopeless;
+void ReplicaReader::TryCatchUps() {
+  std::vector<RequestPtr> done;
   std::string member;
-  for (auto it = waiting_.begin(); it != waiting_.end();) {
-    member.clear();
-    const auto chance =
-        it->chance < least ? it->chance : BestChance(*it->request, member);
-    if (chance == Chance::kNow || chance == Chance::kNone) {
-      const auto request = it->request;
-      timers_.Cancel(it->timer);
-      it = waiting_.erase(it);
-      if (chance == Chance::kNow) {
-        Run(member, request);
-      } else {
-        hopeless.push_back(request);
-      }
+  for (auto it = catching_up_.begin(); it != catching_up_.end();) {
+    if (BestChance(*it->request, member) == Chance::kSoon) {
+      ++it;
       continue;
     }
-    it->chance = chance;
-    const auto slots_are_full =
-        least == Chance::kBusy && chance == Chance::kBusy;
-    if (slots_are_full) {
-      break;
-    }
-    ++it;
+    timers_.Cancel(it->timer);
+    done.push_back(it->request);
+    it = catching_up_.erase(it);
   }
-  for (const auto& request : hopeless) {
-    elsewhere_(request);
+  for (const auto& request : done) {
+    if (!TryServe(request)) {
+      elsewhere_(request);
+    }
   }
 }
 
 void ReplicaReader::Forget(const RequestPtr& request) {
-  const auto it =
-      std::find_if(waiting_.begin(), waiting_.end(),
-                   [&](const auto& entry) { return entry.request == request; });
-  if (it != waiting_.end()) {
+  const auto is_it = [&](const auto& entry) {
+    return entry.request == request;
+  };
+  waiting_.remove_if(is_it);
+  const auto it = std::find_if(catching_up_.begin(), catching_up_.end(), is_it);
+  if (it != catching_up_.end()) {
     timers_.Cancel(it->timer);
-    waiting_.erase(it);
+    catching_up_.erase(it);
   }
 }
 
 void ReplicaReader::Clear() {
-  for (const auto& it : waiting_) {
+  for (const auto& it : catching_up_) {
     timers_.Cancel(it.timer);
   }
+  catching_up_.clear();
   waiting_.clear();
 }
 
@@ -176,7 +228,8 @@
   MemberRequest read;
   read.op = MemberOp::kRead;
   read.statements = request->request.statements;
-  auto attempt = std::make_shared<Attempt>(Attempt{request, member});
+  auto attempt =
+      std::make_shared<Attempt>(Attempt{request, member, timers_.Now()});
   attempts_.push_back(attempt);
   pools_.at(member)->Run(std::move(read), kStatementTimeout,
                          [this, attempt](const MemberAnswer* answer) {
@@ -190,6 +243,10 @@
     return;
   }
   std::erase(attempts_, attempt);
+  if (answer != nullptr) {
+    constexpr int kWeight = 16;
+    service_ += (timers_.Now() - attempt->sent - service_) / kWeight;
+  }
   const auto& request = attempt->request;
   if (request->answered) {
     return;
--- a/kingcuplock/owner/replica_reader.h
+++ b/kingcuplock/owner/replica_reader.h
@@ -36,14 +36,16 @@
   auto operator=(const ReplicaReader&) -> ReplicaReader& = delete;
 
   /// Takes a request if some replica may serve it, now or soon: when a slot is
-  /// free, or when the replica has caught up with the session. O(members).
+  /// free, or when the replica has caught up with the session. Refuses it at
+  /// once if the wait for a slot would be longer than its patience. O(members).
   auto TryServe(const RequestPtr& request) -> bool;
 
-  /// Sends what waits for a slot. O(requests sent or given up).
+  /// Sends what waits for a slot. O(members) per request sent or given up.
   void Pump();
 
   /// Looks again at what waits, and takes reads back from members that do not
-  /// respond. To be called after every sample. O(requests waiting).
+  /// respond. To be called after every sample. As Pump(), and O(members) per
+  /// request that waits for a replica to catch up.
   void OnSampled();
 
   /// Forgets a request that waits.
@@ -59,15 +61,19 @@
   struct Attempt {
     RequestPtr request;
     std::string member;
+    Time sent{};
     bool abandoned = false;
   };
   using AttemptPtr = std::shared_ptr<Attempt>;
-  /// A request that waits for a slot or for a replica to catch up.
-  struct Waiting {
+  /// A request that waits for a replica to catch up.
+  struct CatchUp {
     RequestPtr request;
-    Time until{};
     TimerId timer = 0;
-    Chance chance = Chance::kNone;
+  };
+  /// A request that waits for a slot.
+  struct SlotWait {
+    RequestPtr request;
+    Time since{};
   };
 
   auto NeedOf(const OwnerRequest& request) const -> ReadNeed;
@@ -76,9 +82,12 @@
       -> Chance;
   auto BestChance(const OwnerRequest& request, std::string& member) const
       -> Chance;
-  void Wait(const RequestPtr& request, Chance chance);
-  void LookAgain(Chance least);
-  void GiveUp(const RequestPtr& request);
+  void WaitForCatchUp(const RequestPtr& request);
+  void WaitForSlot(const RequestPtr& request);
+  auto ExpectedSlotWait() const -> Duration;
+  auto MaySpill(const SlotWait& waiting) const -> bool;
+  void TryCatchUps();
+  void GiveUpCatchUp(const RequestPtr& request);
   void Run(const std::string& member, const RequestPtr& request);
   void OnAnswer(const AttemptPtr& attempt, const MemberAnswer* answer);
   void TakeBackSilent();
@@ -89,7 +98,9 @@
   TimerService& timers_;
   FinishCallback finish_;
   std::function<void(const RequestPtr&)> elsewhere_;
-  std::list<Waiting> waiting_;
+  std::list<CatchUp> catching_up_;
+  std::list<SlotWait> waiting_;
+  Duration service_{Milliseconds(1)};
   std::list<AttemptPtr> attempts_;
 };
 
--- a/kingcuplock/owner/request_runner.cc
+++ b/kingcuplock/owner/request_runner.cc
@@ -198,8 +198,8 @@
   }
   std::vector<Unconfirmed> ready;
   for (auto it = unconfirmed_.begin(); it != unconfirmed_.end();) {
-    const auto read_is_safe = !it->is_write && leader_.LeaseIsValid();
-    if (read_is_safe || leader_.Allows(it->position, it->committed_at)) {
+    // Reads wait as well: no session sees what a failover could still lose.
+    if (leader_.Allows(it->position, it->committed_at)) {
       ready.push_back(std::move(*it));
       it = unconfirmed_.erase(it);
     } else {
--- a/kingcuplock/routing/read_check.h
+++ b/kingcuplock/routing/read_check.h
@@ -70,11 +70,16 @@
   }
 
   /// Returns whether a member that is behind the session's place could serve
-  /// the read as soon as it has caught up.
-  auto MayTrySoon(const ReadNeed& need, LogPlace place, Time now) const
-      -> bool {
-    return place < need.seen && need.seen.term <= term_ &&
-           IsCurrent(need, place) &&
+  /// the read once it has caught up, and will have within `wait` if it keeps
+  /// its distance from the primary.
+  auto MayTrySoon(const ReadNeed& need,
+                  LogPlace place,
+                  Time now,
+                  Duration wait) const -> bool {
+    const auto behind = ages_.AgeAt(place, now);
+    const auto seen_since = ages_.AgeAt(need.seen, now);
+    return place < need.seen && IsCurrent(need, place) && behind &&
+           seen_since && *behind - *seen_since <= wait &&
            InAge(place, need.max_age - kReadAgeSlack, now);
   }
 
