--- a/kingcuplock/entry/entry.h
+++ b/kingcuplock/entry/entry.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "kingcuplock/actions/outbox.h"
+#include "kingcuplock/admission/retry_after.h"
 #include "kingcuplock/base/timer_service.h"
 #include "kingcuplock/owner/owner_request.h"
 #include "kingcuplock/schema/manifest.h"
@@ -82,6 +83,7 @@
   };
   using PendingPtr = std::shared_ptr<PendingRequest>;
 
+  auto RetryMs() -> std::int64_t;
   void Refuse(ConnectionId caller,
               const CallerRequest& request,
               ErrorKind kind);
@@ -102,6 +104,7 @@
   TimerService& timers_;
   Outbox& outbox_;
   EntryPorts ports_;
+  RetryAfter retry_after_;
   std::uint64_t last_id_ = 0;
   std::int64_t last_forward_ = 0;
   std::unordered_map<std::uint64_t, PendingPtr> pending_;
--- a/kingcuplock/node/node.cc
+++ b/kingcuplock/node/node.cc
@@ -15,8 +15,6 @@
 constexpr std::string_view kPlatformPrefix = "platform/";
 /// Key of the platform's list of instances and endpoints.
 constexpr std::string_view kInstancesKey = "platform/instances";
-/// Failovers kept for status queries.
-constexpr std::size_t kMaxFailovers = 1000;
 /// Interval in ms at which a planned stop looks whether it is complete.
 constexpr Milliseconds kStopPoll{20};
 /// Quiet time in ms after which a stopping instance ends.
@@ -28,6 +26,12 @@
   return link * kLinkFactor + static_cast<std::uint64_t>(caller);
 }
 
+/// Returns whether an owner of one configuration can go on under the other.
+auto SameGroup(const DatabaseConfig& a, DatabaseConfig b) -> bool {
+  b.kinds = a.kinds;
+  return a == b;
+}
+
 auto KeyPrefix(const ProxySettings& settings) -> std::string {
   return "kingcuplock/" + settings.deployment + "/";
 }
@@ -82,12 +86,13 @@
               [this](const CallerRequest& request,
                      const CallerAnswer& answer,
                      Duration latency) {
-                counters_.Note(request, answer, latency);
+                counters_.Note(timers_.Now(), request, answer, latency);
               }}) {}
 
 Node::~Node() = default;
 
 void Node::Start() {
+  started_ = timers_.Now();
   store_.Watch(names_.key_prefix + "manifest",
                [this](const StoreItem& item, bool deleted) {
                  OnManifestItem(item, deleted);
@@ -233,6 +238,7 @@
 // ------------------------------------------- configuration and membership
 
 void Node::OnManifestChanged() {
+  counters_.SetManifest(manifests_.manifest());
   std::vector<std::string> names;
   for (const auto& it : manifests_.manifest().databases) {
     names.push_back(it.name);
@@ -241,6 +247,19 @@
   for (const auto& it : names) {
     ownership_.Evaluate(it);
   }
+  RestartChangedOwners();
+}
+
+void Node::RestartChangedOwners() {
+  for (auto& [name, owner] : owners_) {
+    const auto* config = FindDatabase(manifests_.manifest(), name);
+    if (config == nullptr) {
+      owner->Drain([this, name = name] { ReleaseOwned(name); });
+    } else if (!SameGroup(*config, owner->config())) {
+      // A new epoch fences the statements of the present owner.
+      owner->Drain([this, name = name] { ownership_.Reacquire(name, 0); });
+    }
+  }
 }
 
 void Node::OnManifestItem(const StoreItem& item, bool deleted) {
@@ -298,10 +317,11 @@
                                         std::function<void(bool)> written) {
     ownership_.Write(database, term, primary, phase, std::move(written));
   };
+  ports.fenced_out = [this, database](std::int64_t epoch) {
+    ownership_.Reacquire(database, epoch);
+  };
   ports.failed_over = [this](const FailoverGap& gap) {
-    if (failovers_.size() < kMaxFailovers) {
-      failovers_.push_back(gap);
-    }
+    failovers_.Add(timers_.Now(), gap);
   };
   auto owner = std::make_unique<DatabaseOwner>(
       *config, record, settings_.timing, timers_, outbox_, std::move(ports));
@@ -413,8 +433,11 @@
     }
     out.databases.push_back(std::move(database));
   }
-  out.counters = counters_.Snapshot();
-  out.failovers = failovers_;
+  out.counters = counters_.Snapshot(timers_.Now());
+  out.failovers = failovers_.Snapshot(timers_.Now());
+  out.uptime_ms =
+      std::chrono::duration_cast<Milliseconds>(timers_.Now() - started_)
+          .count();
   return out;
 }
 
--- a/kingcuplock/node/outcome_test.cc
+++ b/kingcuplock/node/outcome_test.cc
@@ -196,6 +196,9 @@
   CHECK(answer.status == Status::kUnknown);
   CHECK(answer.receipt == "w1");
   CHECK(answer.retry_after_ms > 0);
+  // Without the mark the refusal speaks for this sending alone.
+  request.repeated = false;
+  CHECK(fixture.Ask(0, request).status == Status::kNotRun);
   auto other = fixture.Append("w2", "row", "b");
   other.patience_ms = 300;
   CHECK(fixture.Ask(0, other).status == Status::kNotRun);
--- a/kingcuplock/owner/database_owner.cc
+++ b/kingcuplock/owner/database_owner.cc
@@ -12,7 +12,7 @@
 namespace {
 
 /// Time in ms after which a caller may come back when the primary is away.
-constexpr std::int64_t kPrimaryRetryMs = 500;
+constexpr Milliseconds kPrimaryRetry{500};
 
 }  // namespace
 
@@ -39,7 +39,7 @@
           [this](const RequestPtr& request, CallerAnswer answer) {
             Finish(request, std::move(answer));
           },
-          [this] { Stop(); }),
+          [this] { OnFencedOut(0); }),
       reader_(
           config_,
           leader_,
@@ -83,7 +83,7 @@
   ports.settle = [this](const RequestPtr& request) {
     runner_.Settle(request, Settling::kLookup);
   };
-  ports.fenced_out = [this] { Stop(); };
+  ports.fenced_out = [this] { OnFencedOut(0); };
   return ports;
 }
 
@@ -101,7 +101,8 @@
     runner_.GiveUpPrimary(primary);
   };
   out.sampled = [this] { runner_.AcknowledgeReady(); };
-  out.fenced_out = [this] { Stop(); };
+  fenced_out_ = std::move(ports.fenced_out);
+  out.fenced_out = [this](std::int64_t epoch) { OnFencedOut(epoch); };
   return out;
 }
 
@@ -245,12 +246,12 @@
   }
   if (may_have_run && MayWrite(*request)) {
     Finish(request, InDoubt(request->request.id, ErrorKind::kNotReplicated,
-                            kPrimaryRetryMs));
+                            runner_.Spread(kPrimaryRetry)));
     return;
   }
   const auto reason = leader_.IsServing() ? ErrorKind::kPatienceSpent
                                           : ErrorKind::kPrimaryUnavailable;
-  Finish(request, GiveUp(*request, reason, kPrimaryRetryMs));
+  Finish(request, GiveUp(*request, reason, runner_.Spread(kPrimaryRetry)));
 }
 
 void DatabaseOwner::Stop() {
@@ -272,6 +273,14 @@
   }
 }
 
+void DatabaseOwner::OnFencedOut(std::int64_t epoch) {
+  if (phase() == OwnerPhase::kStopped) {
+    return;
+  }
+  Stop();
+  fenced_out_(epoch);
+}
+
 void DatabaseOwner::Drain(std::function<void()> done) {
   draining_ = true;
   on_drained_ = std::move(done);
