--- a/kingcuplock/admission/admission_queue.h
+++ b/kingcuplock/admission/admission_queue.h
@@ -221,12 +221,19 @@
     return false;
   }
 
+  // Returns the caller that has the most; of equals, the one whose turn is
+  // last.
   static auto LongestOf(const Lane& lane) -> std::uint64_t {
-    return std::max_element(lane.callers.begin(), lane.callers.end(),
-                            [](const auto& a, const auto& b) {
-                              return a.second.size() < b.second.size();
-                            })
-        ->first;
+    auto best = lane.order.back();
+    auto most = lane.callers.at(best).size();
+    for (auto it = lane.order.rbegin(); it != lane.order.rend(); ++it) {
+      const auto size = lane.callers.at(*it).size();
+      if (size > most) {
+        best = *it;
+        most = size;
+      }
+    }
+    return best;
   }
 
   std::size_t limit_;
--- a/kingcuplock/entry/entry.cc
+++ b/kingcuplock/entry/entry.cc
@@ -16,7 +16,7 @@
 /// Pause in ms before a request is routed again.
 constexpr Milliseconds kReroutePause{20};
 /// Time in ms after which a caller may come back when there is no owner.
-constexpr std::int64_t kNoOwnerRetryMs = 500;
+constexpr Milliseconds kNoOwnerRetry{500};
 /// Longest patience in ms that a request may state.
 constexpr std::int64_t kMaxPatienceMs = 600'000;
 
@@ -34,12 +34,17 @@
     : self_(std::move(self)),
       timers_(timers),
       outbox_(outbox),
-      ports_(std::move(ports)) {}
+      ports_(std::move(ports)),
+      retry_after_(std::hash<std::string>{}(self_)) {}
+
+auto Entry::RetryMs() -> std::int64_t {
+  return retry_after_.Ms(kNoOwnerRetry);
+}
 
 void Entry::Refuse(ConnectionId caller,
                    const CallerRequest& request,
                    ErrorKind kind) {
-  const auto retry = kind == ErrorKind::kNoManifest ? kNoOwnerRetryMs : 0;
+  const auto retry = kind == ErrorKind::kNoManifest ? RetryMs() : 0;
   auto answer = request.repeated ? InDoubt(request.id, kind, retry)
                                  : Refusal(request.id, kind, retry);
   answer.token = request.token;
@@ -237,7 +242,7 @@
   if (answer.error == ErrorKind::kNotOwner) {
     answer.error = ErrorKind::kNoOwner;
     answer.message = RemedyOf(ErrorKind::kNoOwner);
-    answer.retry_after_ms = kNoOwnerRetryMs;
+    answer.retry_after_ms = RetryMs();
   }
   Finish(pending, std::move(answer));
 }
@@ -247,8 +252,8 @@
   const auto may_run = pending->in_doubt || !pending->sent_to.empty();
   const auto reason = pending->sent_to.empty() ? ErrorKind::kNoOwner
                                                : ErrorKind::kPatienceSpent;
-  Finish(pending, may_run ? InDoubt(id, reason, kNoOwnerRetryMs)
-                          : Refusal(id, reason, kNoOwnerRetryMs));
+  Finish(pending, may_run ? InDoubt(id, reason, RetryMs())
+                          : Refusal(id, reason, RetryMs()));
 }
 
 void Entry::Finish(const PendingPtr& pending, CallerAnswer answer) {
--- a/kingcuplock/node/node.cc
+++ b/kingcuplock/node/node.cc
@@ -20,18 +20,18 @@
 /// Quiet time in ms after which a stopping instance ends.
 constexpr Milliseconds kStopQuiet{300};
 
-/// Returns whether an owner of one configuration can go on under the other.
-auto SameGroup(const DatabaseConfig& a, DatabaseConfig b) -> bool {
-  b.kinds = a.kinds;
-  return a == b;
-}
-
 /// Tells the callers of all entry instances apart.
 auto CallerKey(ConnectionId link, std::int64_t caller) -> std::uint64_t {
   constexpr std::uint64_t kLinkFactor = 0x9e3779b97f4a7c15;
   return link * kLinkFactor + static_cast<std::uint64_t>(caller);
 }
 
+/// Returns whether an owner of one configuration can go on under the other.
+auto SameGroup(const DatabaseConfig& a, DatabaseConfig b) -> bool {
+  b.kinds = a.kinds;
+  return a == b;
+}
+
 auto KeyPrefix(const ProxySettings& settings) -> std::string {
   return "kingcuplock/" + settings.deployment + "/";
 }
--- a/kingcuplock/owner/database_owner.cc
+++ b/kingcuplock/owner/database_owner.cc
@@ -12,7 +12,7 @@
 namespace {
 
 /// Time in ms after which a caller may come back when the primary is away.
-constexpr std::int64_t kPrimaryRetryMs = 500;
+constexpr Milliseconds kPrimaryRetry{500};
 
 }  // namespace
 
@@ -83,7 +83,7 @@
   ports.settle = [this](const RequestPtr& request) {
     runner_.Settle(request, Settling::kLookup);
   };
-  ports.fenced_out = [this] { Stop(); };
+  ports.fenced_out = [this] { OnFencedOut(0); };
   return ports;
 }
 
@@ -249,12 +249,12 @@
   }
   if (may_have_run && MayWrite(*request)) {
     Finish(request, InDoubt(request->request.id, ErrorKind::kNotReplicated,
-                            kPrimaryRetryMs));
+                            runner_.Spread(kPrimaryRetry)));
     return;
   }
   const auto reason = leader_.IsServing() ? ErrorKind::kPatienceSpent
                                           : ErrorKind::kPrimaryUnavailable;
-  Finish(request, GiveUp(*request, reason, kPrimaryRetryMs));
+  Finish(request, GiveUp(*request, reason, runner_.Spread(kPrimaryRetry)));
 }
 
 void DatabaseOwner::Stop() {
--- a/kingcuplock/owner/database_owner.h
+++ b/kingcuplock/owner/database_owner.h
@@ -99,8 +99,8 @@
   auto OnAnswer(ConnectionId connection, const MemberAnswer& answer) -> bool;
 
  private:
-  void OnFencedOut(std::int64_t epoch);
   auto MakeTransactionPorts() -> TransactionPorts;
+  void OnFencedOut(std::int64_t epoch);
   auto MakeLeaderPorts(OwnerPorts ports) -> LeaderPorts;
   void AddPool(const MemberConfig& member, Outbox& outbox);
   void OnFree(const std::string& member);
--- a/kingcuplock/owner/request_runner.h
+++ b/kingcuplock/owner/request_runner.h
@@ -111,6 +111,9 @@
     return retry_after_.Ms(queue_.ExpectedTime(priority));
   }
 
+  /// Returns a time in ms after which a caller may come back, spread out.
+  auto Spread(Duration wait) -> std::int64_t { return retry_after_.Ms(wait); }
+
   /// Returns how long one request holds its slot.
   auto Service() const -> Duration { return queue_.Service(); }
 
--- a/testing/node_fixture.cc
+++ b/testing/node_fixture.cc
@@ -262,10 +262,10 @@
     });
     return;
   }
-  const auto open_time = open.kind == ConnectionKind::kMember
-                             ? Duration(options_.open_us)
-                             : Duration::zero();
-  At(Delay() + Delay() + open_time, [this, node, id, reachable, run] {
+  const auto accept = open.kind == ConnectionKind::kMember && reachable
+                          ? Duration(options_.open_us)
+                          : Duration::zero();
+  At(Delay() + Delay() + accept, [this, node, id, reachable, run] {
     auto* found = FindLink(node, id);
     if (found == nullptr || nodes_[node].run != run) {
       return;
