Failover: replace a primary that no longer reaches its replicas; shorter suspicion

Cause: a primary cut off from its group but reachable by its owner was kept, and no write could be acknowledged for as long as the cut lasted. The owner now promotes a replica, without hearing the primary, when no replica has moved for 1.5 s though the primary is ahead; stalls that follow within 10 minutes are borne twice as long each time, so replicas that merely lag do not make the primary change for long (test with 4 s of lag). A fresh connection gets half the probe timeout, and a suspected member is not waited for when members are heard. Ruled out: one fresh connection only; two keep a primary with hiccups of 100 ms and 200 ms in place (test).

Event 306 is new.

--- a/benchmarks/failover_gap/main.cc
+++ b/benchmarks/failover_gap/main.cc
@@ -5,6 +5,7 @@
 ///   failover-gap --json
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <cstdio>
 #include <string>
@@ -85,9 +86,8 @@
     return 0;
   }
   std::sort(sorted.begin(), sorted.end());
-  const auto last = static_cast<double>(sorted.size() - 1);
-  return static_cast<double>(sorted[static_cast<std::size_t>(q * last + 0.5)]) /
-         kUsPerMs;
+  const auto rank = std::lround(q * static_cast<double>(sorted.size() - 1));
+  return static_cast<double>(sorted[static_cast<std::size_t>(rank)]) / kUsPerMs;
 }
 
 auto Meets(const Distribution& runs, Fault fault) -> bool {
--- a/kingcuplock/base/log.cc
+++ b/kingcuplock/base/log.cc
@@ -68,6 +68,7 @@
       {kPromotionDone, kWarning, "promotion done"},
       {kMemberDemoted, kWarning, "member told to follow the primary"},
       {kWritesOpen, kInfo, "writes open"},
+      {kReplicationStalled, kWarning, "primary no longer reaches replicas"},
       {kManifestInForce, kInfo, "manifest in force"},
       {kManifestRejected, kError, "manifest rejected"},
       {kPeerUp, kInfo, "peer link up"},
--- a/kingcuplock/base/log.h
+++ b/kingcuplock/base/log.h
@@ -36,6 +36,7 @@
   kPromotionDone = 303,
   kMemberDemoted = 304,
   kWritesOpen = 305,
+  kReplicationStalled = 306,
   kManifestInForce = 400,
   kManifestRejected = 401,
   kPeerUp = 500,
--- /dev/null
+++ b/kingcuplock/failover/failover_test.cc
@@ -0,0 +1,199 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "testing/node_fixture.h"
+#include "testing/write_history.h"
+
+namespace kingcuplock {
+namespace {
+
+constexpr Milliseconds kLead{300};
+
+auto PhaseOf(NodeFixture& fixture, std::size_t node) -> std::string {
+  return fixture.StatusOf(node).databases.at(0).phase;
+}
+
+TEST_CASE("A silent connection is replaced and the primary stays") {
+  NodeFixture fixture({.seed = 1, .nodes = 2});
+  fixture.Settle();
+  WriteHistory history(fixture);
+  for (auto n = 0; n < 5; ++n) {
+    fixture.SilenceMember("db0-1");
+    history.WriteFor(0, Milliseconds(1000));
+  }
+  CHECK(history.Resumes(0, Milliseconds(1000)));
+  CHECK(fixture.Primary("db0").term == 1);
+  CHECK(history.Faults() == "");
+}
+
+TEST_CASE("A primary with hiccups of 100 ms or 200 ms stays") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    const auto hiccup = Milliseconds(seed % 2 == 0 ? 100 : 200);
+    NodeFixture fixture({.seed = seed, .nodes = 2});
+    fixture.Settle();
+    WriteHistory history(fixture);
+    for (auto n = 0; n < 30; ++n) {
+      fixture.PauseMember("db0-1", true);
+      history.WriteFor(0, hiccup);
+      fixture.PauseMember("db0-1", false);
+      history.WriteFor(0, Milliseconds(50 + fixture.random()() % 200));
+    }
+    CHECK(fixture.Primary("db0").term == 1);
+    CHECK(history.Faults() == "");
+  }
+}
+
+TEST_CASE("A paused primary is replaced and demoted when it wakes") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    NodeFixture fixture({.seed = seed, .nodes = 2});
+    fixture.Settle();
+    WriteHistory history(fixture);
+    history.WriteFor(0, kLead);
+    fixture.PauseMember("db0-1", true);
+    CHECK(history.Resumes(0, Milliseconds(2000)));
+    fixture.PauseMember("db0-1", false);
+    history.WriteFor(0, Milliseconds(1000));
+    fixture.RunFor(Milliseconds(2500));
+    CHECK(fixture.group("db0").member("db0-1").role == MemberRole::kReplica);
+    CHECK(history.Faults() == "");
+  }
+}
+
+TEST_CASE("A primary cut off from its replicas is replaced") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    NodeFixture fixture({.seed = seed, .nodes = 2});
+    fixture.Settle();
+    WriteHistory history(fixture);
+    history.WriteFor(0, kLead);
+    fixture.IsolateMember("db0-1", true);
+    CHECK(history.Resumes(0, Milliseconds(10'000)));
+    CHECK(fixture.Primary("db0").name != "db0-1");
+    fixture.IsolateMember("db0-1", false);
+    history.WriteFor(0, Milliseconds(1000));
+    fixture.RunFor(Milliseconds(2500));
+    CHECK(fixture.group("db0").member("db0-1").role == MemberRole::kReplica);
+    CHECK(history.Faults() == "");
+  }
+}
+
+TEST_CASE("A primary cut off from its replicas while its owner dies") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    NodeFixture fixture({.seed = seed, .nodes = 2});
+    fixture.Settle();
+    const auto owner = fixture.OwnerOf("db0");
+    WriteHistory history(fixture);
+    history.WriteFor(1 - owner, kLead);
+    fixture.IsolateMember("db0-1", true);
+    history.WriteFor(1 - owner, Milliseconds(seed * 100));
+    fixture.KillNode(owner);
+    CHECK(history.Resumes(1 - owner, Milliseconds(10'000)));
+    CHECK(history.Faults() == "");
+  }
+}
+
+TEST_CASE("Replicas that lag for seconds do not change the primary for long") {
+  NodeFixture fixture({.seed = 1, .nodes = 2});
+  fixture.Settle();
+  WriteHistory history(fixture);
+  for (const auto* name : {"db0-1", "db0-2", "db0-3"}) {
+    fixture.SetLag(name, Milliseconds(4000));
+  }
+  for (auto n = 0; n < 20; ++n) {
+    history.WriteFor(0, Milliseconds(2000));
+    fixture.RunFor(Milliseconds(5000));
+  }
+  const auto term = fixture.Primary("db0").term;
+  CHECK(term <= 4);
+  for (auto n = 0; n < 5; ++n) {
+    history.WriteFor(0, Milliseconds(2000));
+    fixture.RunFor(Milliseconds(5000));
+  }
+  CHECK(fixture.Primary("db0").term == term);
+  CHECK(history.Faults() == "");
+}
+
+TEST_CASE("A successor resumes a promotion at every step") {
+  for (auto step_ms = 0; step_ms <= 160; ++step_ms) {
+    CAPTURE(step_ms);
+    NodeFixture fixture({.seed = 100 + static_cast<std::uint64_t>(step_ms),
+                         .nodes = 3,
+                         .max_delay_us = 2000});
+    fixture.Settle();
+    const auto owner = fixture.OwnerOf("db0");
+    const auto other = (owner + 1) % fixture.nodes();
+    WriteHistory history(fixture);
+    history.WriteFor(other, kLead);
+    fixture.KillMember("db0-1");
+    fixture.RunFor(Milliseconds(step_ms));
+    fixture.KillNode(owner);
+    CHECK(history.Resumes(other, Milliseconds(6000)));
+    fixture.ReviveMember("db0-1");
+    fixture.RunFor(Milliseconds(3000));
+    CHECK(history.Faults() == "");
+  }
+}
+
+TEST_CASE("A successor that reaches one member only waits for a second") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    NodeFixture fixture({.seed = seed, .nodes = 2});
+    fixture.Settle();
+    const auto owner = fixture.OwnerOf("db0");
+    WriteHistory history(fixture);
+    history.WriteFor(1 - owner, kLead);
+    // Acknowledged by db0-3 alone, which then goes as well.
+    fixture.PauseMember("db0-2", true);
+    history.WriteFor(1 - owner, kLead);
+    fixture.KillNode(owner);
+    fixture.KillMember("db0-1");
+    fixture.KillMember("db0-3");
+    fixture.PauseMember("db0-2", false);
+    fixture.RunFor(Milliseconds(5000));
+    CHECK(PhaseOf(fixture, 1 - owner) == "promoting");
+    fixture.ReviveMember("db0-3");
+    CHECK(history.Resumes(1 - owner, Milliseconds(3000)));
+    fixture.RunFor(Milliseconds(2500));
+    CHECK(history.Faults() == "");
+  }
+}
+
+TEST_CASE("The next primary dies as well") {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    CAPTURE(seed);
+    NodeFixture fixture({.seed = seed, .nodes = 2});
+    fixture.Settle();
+    WriteHistory history(fixture);
+    history.WriteFor(0, kLead);
+    fixture.KillMember("db0-1");
+    REQUIRE(
+        fixture.RunUntil([&] { return fixture.Primary("db0").name != "db0-1"; },
+                         Milliseconds(3000)));
+    fixture.RunFor(Milliseconds(seed % 10));
+    fixture.KillMember(fixture.Primary("db0").name);
+    fixture.ReviveMember("db0-1");
+    CHECK(history.Resumes(0, Milliseconds(3000)));
+    fixture.RunFor(Milliseconds(2500));
+    CHECK(history.Faults() == "");
+  }
+}
+
+TEST_CASE("A primary dies while the store answers in 500 ms") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    NodeFixture fixture({.seed = seed, .nodes = 2});
+    fixture.Settle();
+    fixture.SetStoreDelay(Milliseconds(500));
+    WriteHistory history(fixture);
+    history.WriteFor(0, kLead);
+    fixture.KillMember("db0-1");
+    CHECK(history.Resumes(0, Milliseconds(3000)));
+    CHECK(history.Faults() == "");
+  }
+}
+
+}  // namespace
+}  // namespace kingcuplock
--- a/kingcuplock/failover/member_watch.cc
+++ b/kingcuplock/failover/member_watch.cc
@@ -7,6 +7,9 @@
 
 /// Fresh connections that must fail in a row before a member is suspected.
 constexpr int kFreshFailuresToSuspect = 2;
+/// A fresh connection has this share of the probe timeout: the silence before
+/// it counts already.
+constexpr int kFreshTimeoutDivisor = 2;
 /// Pause in ms between fresh connections that fail at once.
 constexpr int kFreshPauseMs = 20;
 
@@ -29,10 +32,18 @@
 
 void MemberWatch::Start() {
   silent_since_ = timers_.Now();
-  link_.Reconnect(Milliseconds(timing_.probe_timeout_ms));
+  link_.Reconnect(Timeout());
   Sample();
 }
 
+auto MemberWatch::Timeout() const -> Duration {
+  return Milliseconds(timing_.probe_timeout_ms);
+}
+
+auto MemberWatch::FreshTimeout() const -> Duration {
+  return Timeout() / kFreshTimeoutDivisor;
+}
+
 void MemberWatch::NoteHeard() {
   fresh_failures_ = 0;
   silent_since_ = timers_.Now();
@@ -46,7 +57,7 @@
 void MemberWatch::Sample() {
   MemberRequest request;
   request.op = MemberOp::kStatus;
-  auto timeout = Milliseconds(timing_.probe_timeout_ms);
+  auto timeout = failing_ ? FreshTimeout() : Timeout();
   if (!primary_ && !failing_) {
     request.op = MemberOp::kAwaitPosition;
     request.position = position_ + 1;
@@ -83,7 +94,7 @@
     ++fresh_failures_;
   }
   const auto refused = !link_.IsConnecting();
-  link_.Reconnect(Milliseconds(timing_.probe_timeout_ms));
+  link_.Reconnect(FreshTimeout());
   if (refused) {
     SampleAfter(Milliseconds(kFreshPauseMs));
   } else {
--- a/kingcuplock/failover/member_watch.h
+++ b/kingcuplock/failover/member_watch.h
@@ -63,6 +63,8 @@
   auto OnAnswer(ConnectionId connection, const MemberAnswer& answer) -> bool;
 
  private:
+  auto Timeout() const -> Duration;
+  auto FreshTimeout() const -> Duration;
   void Sample();
   void OnSample(Time asked, const MemberAnswer* answer);
   void OnLost();
--- a/kingcuplock/failover/promotion.cc
+++ b/kingcuplock/failover/promotion.cc
@@ -61,7 +61,9 @@
   step_ = Step::kHearing;
   times_.recorded = timers_.Now();
   for (const auto& it : start_.database.members) {
-    Hear(it.name);
+    if (it.name != start_.excluded) {
+      Hear(it.name);
+    }
   }
 }
 
@@ -116,7 +118,10 @@
   if (choice.verdict == CandidateVerdict::kWait) {
     return;
   }
-  const auto all_heard = hearings_.size() == start_.database.members.size();
+  const auto one_is_away =
+      !start_.excluded.empty() || !start_.suspected.empty();
+  const auto to_hear = start_.database.members.size() - (one_is_away ? 1 : 0);
+  const auto all_heard = hearings_.size() >= to_hear;
   if (all_heard || grace_over_) {
     Choose(choice.candidate);
     return;
--- a/kingcuplock/failover/promotion.h
+++ b/kingcuplock/failover/promotion.h
@@ -31,6 +31,12 @@
   std::int64_t newest_term = 0;
   /// Highest place acknowledged, if this owner knows it.
   std::optional<LogPlace> acknowledged;
+  /// Member that is not heard and not chosen, empty for none: a primary that
+  /// answers but no longer reaches its replicas.
+  std::string excluded;
+  /// Member whose fresh connections failed, empty for none: heard if it
+  /// answers, but not waited for.
+  std::string suspected;
 };
 
 /// When each step ended.
--- a/kingcuplock/owner/group_leader.cc
+++ b/kingcuplock/owner/group_leader.cc
@@ -10,6 +10,8 @@
 constexpr Milliseconds kControlTimeout{300};
 /// Pause in ms before a fence is tried again.
 constexpr Milliseconds kFencePause{50};
+/// Time in ms within which a replica that answers has sent a sample.
+constexpr Milliseconds kRecentlyHeard{300};
 /// Shortest time in ms between two orders to follow, per member.
 constexpr Milliseconds kFollowInterval{100};
 
@@ -127,6 +129,7 @@
   auto& member = members_.at(name);
   member.place = {answer.entry_term, answer.position};
   member.follows = answer.term;
+  member.heard_at = timers_.Now();
   const auto primary_known =
       phase_ == OwnerPhase::kFencing || phase_ == OwnerPhase::kServing;
   if (!primary_known) {
@@ -152,6 +155,7 @@
   }
   TryOpen();
   ports_.sampled();
+  WatchReplication();
 }
 
 void GroupLeader::Demote(const std::string& name, Member& member) {
@@ -188,7 +192,45 @@
   gap_->suspect_us = Microseconds(began, timers_.Now());
   outbox_.Log(Event::kPrimarySuspected,
               {{"database", config_.name}, {"member", name}});
-  BeginPromotion();
+  ReplacePrimary(name, "");
+}
+
+void GroupLeader::WatchReplication() {
+  const auto watched =
+      config_.acknowledgement == AcknowledgementMode::kReplicated && fence_ &&
+      (phase_ == OwnerPhase::kFencing || phase_ == OwnerPhase::kServing);
+  const auto replica = watched ? FurthestReplica() : std::nullopt;
+  if (!replica) {
+    replication_.Reset();
+    return;
+  }
+  const auto target = std::max(*fence_, members_.at(primary_).place);
+  const auto since = replication_.Note(target, *replica, timers_.Now());
+  if (since && ports_.lease_is_valid()) {
+    OnReplicationStalled(*since);
+  }
+}
+
+// Returns the furthest replica that answers, if any does.
+auto GroupLeader::FurthestReplica() const -> std::optional<LogPlace> {
+  const auto recent = timers_.Now() - kRecentlyHeard;
+  std::optional<LogPlace> furthest;
+  for (const auto& [name, member] : members_) {
+    if (name != primary_ && member.heard_at >= recent) {
+      furthest = std::max(furthest.value_or(LogPlace{}), member.place);
+    }
+  }
+  return furthest;
+}
+
+void GroupLeader::OnReplicationStalled(Time since) {
+  replication_.NoteReplaced(timers_.Now());
+  gap_.emplace();
+  gap_->database = config_.name;
+  gap_->suspect_us = Microseconds(since, timers_.Now());
+  outbox_.Log(Event::kReplicationStalled,
+              {{"database", config_.name}, {"member", primary_}});
+  ReplacePrimary("", primary_);
 }
 
 // A member that follows a later term shows that this leader's term has ended.
@@ -335,13 +377,19 @@
 }
 
 void GroupLeader::BeginPromotion() {
+  ReplacePrimary("", "");
+}
+
+void GroupLeader::ReplacePrimary(const std::string& suspected,
+                                 const std::string& excluded) {
+  PromotionStart start{config_, term_, acknowledged_, excluded, suspected};
   phase_ = OwnerPhase::kPromoting;
   fence_.reset();
+  replication_.Reset();
   ports_.closed(std::exchange(primary_, {}));
   retired_promotion_ = std::move(promotion_);
-  promotion_ =
-      std::make_unique<Promotion>(PromotionStart{config_, term_, acknowledged_},
-                                  timers_, outbox_, MakePromotionPorts());
+  promotion_ = std::make_unique<Promotion>(std::move(start), timers_, outbox_,
+                                           MakePromotionPorts());
   promotion_->Begin();
 }
 
--- a/kingcuplock/owner/group_leader.h
+++ b/kingcuplock/owner/group_leader.h
@@ -20,6 +20,7 @@
 #include "kingcuplock/base/timer_service.h"
 #include "kingcuplock/failover/member_watch.h"
 #include "kingcuplock/failover/promotion.h"
+#include "kingcuplock/failover/replication_watch.h"
 #include "kingcuplock/outcome/acknowledgement.h"
 #include "kingcuplock/routing/age_tracker.h"
 #include "kingcuplock/schema/manifest.h"
@@ -126,6 +127,7 @@
     std::unique_ptr<MemberWatch> watch;
     LogPlace place;
     std::int64_t follows = 0;
+    Time heard_at{};
     std::optional<Time> last_follow_order;
   };
 
@@ -146,6 +148,11 @@
   void OnFenceRaised(std::int64_t term, const MemberAnswer* answer);
   void TryOpen();
   void OvertakeTerm(std::int64_t term);
+  void WatchReplication();
+  auto FurthestReplica() const -> std::optional<LogPlace>;
+  void OnReplicationStalled(Time since);
+  void ReplacePrimary(const std::string& suspected,
+                      const std::string& excluded);
   auto MakePromotionPorts() -> PromotionPorts;
   void OnPromoted(std::int64_t term, const std::string& primary);
   void CommitRecord();
@@ -167,6 +174,7 @@
   std::optional<LogPlace> acknowledged_;
   std::optional<LogPlace> fence_;
   Time fence_raised_at_{};
+  ReplicationWatch replication_;
   AgeTracker ages_;
   std::unique_ptr<Promotion> promotion_;
   std::unique_ptr<Promotion> retired_promotion_;
--- /dev/null
+++ b/kingcuplock/ownership/ownership_property_test.cc
@@ -0,0 +1,271 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "testing/node_fixture.h"
+#include "testing/write_history.h"
+
+namespace kingcuplock {
+namespace {
+
+constexpr std::size_t kInstances = 3;
+constexpr std::uint64_t kSchedules = 300;
+
+/// Random faults on one database and its three instances.
+class FaultSchedule {
+ public:
+  explicit FaultSchedule(std::uint64_t seed)
+      : fixture_({.seed = seed, .nodes = kInstances}), history_(fixture_) {
+    fixture_.Settle();
+  }
+
+  void Run() {
+    constexpr auto kFaults = 6;
+    for (auto n = 0; n < kFaults; ++n) {
+      Cause();
+      WriteFor(Below(1500));
+      if (Below(2) == 0) {
+        Heal();
+      }
+    }
+    Heal();
+    WriteFor(500);
+  }
+
+  /// Returns the most instances that served with a valid lease at once. Not
+  /// counted in a schedule whose store breaks its promise to keep a lease for
+  /// its time to live; what the fence prevents then is in faults().
+  auto most_owners() const -> int { return expired_early_ ? 0 : most_owners_; }
+  auto resumes() -> bool {
+    const auto resumed = history_.Resumes(0, Milliseconds(8000));
+    fixture_.RunFor(Milliseconds(2500));
+    return resumed;
+  }
+  auto faults() -> std::string { return history_.Faults(); }
+
+ private:
+  auto Below(std::uint64_t limit) -> std::uint64_t {
+    return fixture_.random()() % limit;
+  }
+  auto AnyMember() -> std::string {
+    return "db0-" + std::to_string(1 + Below(3));
+  }
+
+  void Cause() {
+    const auto node = Below(kInstances);
+    const auto member = AnyMember();
+    switch (Below(14)) {
+      case 0:
+        fixture_.KillNode(node);
+        return heals_.push_back([=, this] { fixture_.StartNode(node); });
+      case 1:
+        fixture_.PauseNode(node, true);
+        return heals_.push_back([=, this] { fixture_.PauseNode(node, false); });
+      case 2:
+        fixture_.CutStore(node, true);
+        return heals_.push_back([=, this] { fixture_.CutStore(node, false); });
+      case 3:
+        fixture_.SetStoreDown(true);
+        return heals_.push_back([=, this] { fixture_.SetStoreDown(false); });
+      case 4:
+        return fixture_.LoseStoreAnswers(static_cast<int>(1 + Below(4)));
+      case 5:
+        fixture_.CutMember(node, member, true);
+        return heals_.push_back(
+            [=, this] { fixture_.CutMember(node, member, false); });
+      case 6:
+        fixture_.KillMember(member);
+        return heals_.push_back([=, this] { fixture_.ReviveMember(member); });
+      case 7:
+        fixture_.PauseMember(member, true);
+        return heals_.push_back(
+            [=, this] { fixture_.PauseMember(member, false); });
+      case 8:
+        fixture_.IsolateMember(member, true);
+        return heals_.push_back(
+            [=, this] { fixture_.IsolateMember(member, false); });
+      case 9:
+        return fixture_.SilenceMember(member);
+      case 10:
+        fixture_.SetLag(member, Milliseconds(400));
+        return heals_.push_back(
+            [=, this] { fixture_.SetLag(member, Duration::zero()); });
+      case 11:
+        expired_early_ = true;
+        return fixture_.ExpireLeases();
+      case 12:
+        fixture_.SetStoreDelay(Milliseconds(400));
+        return heals_.push_back(
+            [this] { fixture_.SetStoreDelay(Duration::zero()); });
+      default:
+        fixture_.CutPeers(node, (node + 1) % kInstances, true);
+        return heals_.push_back([=, this] {
+          fixture_.CutPeers(node, (node + 1) % kInstances, false);
+        });
+    }
+  }
+
+  void Heal() {
+    for (const auto& it : heals_) {
+      it();
+    }
+    heals_.clear();
+  }
+
+  void WriteFor(std::uint64_t ms) {
+    const auto until =
+        fixture_.Now() + Milliseconds(static_cast<std::int64_t>(ms));
+    while (fixture_.Now() < until) {
+      history_.Write(Below(kInstances));
+      fixture_.RunFor(Milliseconds(20));
+      CountOwners();
+    }
+  }
+
+  void CountOwners() {
+    auto owners = 0;
+    for (std::size_t n = 0; n < kInstances; ++n) {
+      if (fixture_.IsRunning(n)) {
+        const auto status = fixture_.StatusOf(n);
+        owners += status.lease_valid && !status.databases.empty() &&
+                          status.databases.front().phase == "serving"
+                      ? 1
+                      : 0;
+      }
+    }
+    most_owners_ = std::max(most_owners_, owners);
+  }
+
+  NodeFixture fixture_;
+  WriteHistory history_;
+  std::vector<std::function<void()>> heals_;
+  bool expired_early_ = false;
+  int most_owners_ = 0;
+};
+
+TEST_CASE("Random faults: one owner, nothing lost, doubled or left stopped") {
+  for (std::uint64_t seed = 1; seed <= kSchedules; ++seed) {
+    CAPTURE(seed);
+    FaultSchedule schedule(seed);
+    schedule.Run();
+    CHECK(schedule.most_owners() <= 1);
+    CHECK(schedule.resumes());
+    CHECK(schedule.faults() == "");
+  }
+}
+
+TEST_CASE("An owner that was paused past its lease acknowledges nothing old") {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    CAPTURE(seed);
+    NodeFixture fixture({.seed = seed, .nodes = 2});
+    fixture.Settle();
+    const auto owner = fixture.OwnerOf("db0");
+    WriteHistory history(fixture);
+    history.WriteFor(owner, Milliseconds(100));
+    fixture.PauseNode(owner, true);
+    for (auto n = 0; n < 10; ++n) {
+      history.Write(owner);
+    }
+    CHECK(history.Resumes(1 - owner, Milliseconds(6000)));
+    // The new owner has changed the primary when the old one wakes.
+    fixture.KillMember("db0-1");
+    CHECK(history.Resumes(1 - owner, Milliseconds(3000)));
+    fixture.ReviveMember("db0-1");
+    fixture.PauseNode(owner, false);
+    history.WriteFor(owner, Milliseconds(500));
+    fixture.RunFor(Milliseconds(2500));
+    CHECK(history.Faults() == "");
+  }
+}
+
+TEST_CASE("Without the store writes go on while every member confirms") {
+  NodeFixture fixture({.seed = 1, .nodes = 2});
+  fixture.Settle();
+  WriteHistory history(fixture);
+  history.WriteFor(0, Milliseconds(100));
+  fixture.SetStoreDown(true);
+  fixture.RunFor(Milliseconds(5000));
+  CHECK(history.Resumes(0, Milliseconds(1000)));
+  fixture.KillMember("db0-3");
+  fixture.RunFor(Milliseconds(200));
+  CHECK_FALSE(history.Resumes(0, Milliseconds(3000)));
+  fixture.ReviveMember("db0-3");
+  CHECK(history.Resumes(0, Milliseconds(3000)));
+  fixture.KillMember("db0-3");
+  fixture.SetStoreDown(false);
+  CHECK(history.Resumes(0, Milliseconds(6000)));
+  fixture.RunFor(Milliseconds(2500));
+  CHECK(history.Faults() == "");
+}
+
+TEST_CASE("An owner cut off from the store gives way within its lease") {
+  NodeFixture fixture({.seed = 1, .nodes = 3});
+  fixture.Settle();
+  const auto owner = fixture.OwnerOf("db0");
+  WriteHistory history(fixture);
+  fixture.CutStore(owner, true);
+  const auto other = (owner + 1) % fixture.nodes();
+  const auto old_name = fixture.StatusOf(other).databases.at(0).owner;
+  CHECK(fixture.RunUntil(
+      [&] { return fixture.StatusOf(other).databases.at(0).owner != old_name; },
+      Milliseconds(4000)));
+  CHECK(history.Resumes(other, Milliseconds(3000)));
+  fixture.CutStore(owner, false);
+  fixture.RunFor(Milliseconds(3000));
+  CHECK(history.Faults() == "");
+}
+
+TEST_CASE("An instance that starts while the store is out finds the owner") {
+  NodeFixture fixture({.seed = 1, .nodes = 3});
+  fixture.Settle();
+  const auto other = (fixture.OwnerOf("db0") + 1) % fixture.nodes();
+  fixture.SetStoreDown(true);
+  fixture.KillNode(other);
+  fixture.RunFor(Milliseconds(100));
+  fixture.StartNode(other);
+  fixture.RunFor(Milliseconds(1000));
+  CHECK(fixture.Ask(other, fixture.Append("w", "row", "x")).status ==
+        Status::kOk);
+}
+
+TEST_CASE("A manifest that changes a group restarts its owner") {
+  NodeFixture fixture({.seed = 1, .nodes = 2});
+  fixture.Settle();
+  WriteHistory history(fixture);
+  history.WriteFor(0, Milliseconds(100));
+  const auto epoch = fixture.StatusOf(0).databases.at(0).epoch;
+  auto manifest = fixture.manifest();
+  manifest.version = 2;
+  manifest.databases.at(0).slots = 4;
+  fixture.Publish(manifest);
+  history.WriteFor(0, Milliseconds(1000));
+  CHECK(fixture.StatusOf(0).databases.at(0).epoch == epoch + 1);
+  CHECK(history.Resumes(0, Milliseconds(500)));
+  fixture.RunFor(Milliseconds(2500));
+  CHECK(history.Faults() == "");
+  for (const auto& it : fixture.answers()) {
+    CHECK(it.answer.status == Status::kOk);
+  }
+}
+
+TEST_CASE("A database that leaves the manifest is released") {
+  NodeFixture fixture({.seed = 1, .nodes = 2, .databases = 2});
+  fixture.Settle();
+  auto manifest = fixture.manifest();
+  manifest.version = 2;
+  const auto removed = manifest.databases.back();
+  manifest.databases.pop_back();
+  fixture.Publish(manifest);
+  fixture.RunFor(Milliseconds(1000));
+  manifest.version = 3;
+  manifest.databases.push_back(removed);
+  fixture.Publish(manifest);
+  fixture.Settle();
+  CHECK(fixture.OwnerOf("db1") < fixture.nodes());
+}
+
+}  // namespace
+}  // namespace kingcuplock
--- a/proofs/promotion_model/promotion_model.h
+++ b/proofs/promotion_model/promotion_model.h
@@ -204,7 +204,8 @@
     if (attempt_ != 0 || found == owners_.end()) {
       return;
     }
-    auto& [term, owner] = *found;
+    const auto term = found->first;
+    auto& owner = found->second;
     const auto member = AnyMember();
     if (group_.member(owner.primary).follows != term) {
       return;
@@ -223,10 +224,12 @@
   }
 
   void Confirm() {
-    auto& [term, owner] = AnyOwner();
-    AcknowledgeAll(term, owner, [&](std::int64_t position, Time committed) {
-      return owner.by_confirmation.Allows(position, committed, false);
-    });
+    auto& entry = AnyOwner();
+    const auto& owner = entry.second;
+    AcknowledgeAll(
+        entry.first, owner, [&](std::int64_t position, Time committed) {
+          return owner.by_confirmation.Allows(position, committed, false);
+        });
   }
 
   auto SampleOf(std::size_t member) const -> MemberSample {
--- a/testing/node_fixture.h
+++ b/testing/node_fixture.h
@@ -131,6 +131,11 @@
   /// Returns whether the instance runs, paused or not.
   auto IsAlive(std::size_t node) const -> bool { return nodes_[node].alive; }
 
+  /// Returns whether the instance is neither killed nor paused.
+  auto IsRunning(std::size_t node) const -> bool {
+    return nodes_[node].alive && !nodes_[node].paused;
+  }
+
   /// Returns whether a planned stop of the instance is complete.
   auto Stopped(std::size_t node) const -> bool;
 
