--- a/testing/node_fixture.h
+++ b/testing/node_fixture.h
@@ -135,6 +135,11 @@
   void StopNode(std::size_t node);
   void CutPeers(std::size_t a, std::size_t b, bool cut);
 
+  /// Returns whether the instance is neither killed nor paused.
+  auto IsRunning(std::size_t node) const -> bool {
+    return nodes_[node].alive && !nodes_[node].paused;
+  }
+
   /// Returns whether a planned stop of the instance is complete.
   auto Stopped(std::size_t node) const -> bool;
 
