--- a/kingcuplock/metrics/metrics_test.cc
+++ b/kingcuplock/metrics/metrics_test.cc
@@ -80,6 +80,23 @@
   CHECK(sketch.Quantile(0.99) == Duration(20));
 }
 
+TEST_CASE("Constant, negative and extreme latencies keep quantiles in range") {
+  LatencySketch constant;
+  LatencySketch wrapped;
+  LatencySketch extreme;
+  for (std::int64_t n = 0; n < 300'000; ++n) {
+    constant.Add(Duration(0));
+    wrapped.Add(Duration(200 + static_cast<std::int32_t>(n * 7919) % 1000));
+    extreme.Add(n % 7 == 0 ? Duration::max() : Duration(-n));
+  }
+  for (const auto probability : {0.5, 0.99}) {
+    CHECK(constant.Quantile(probability) == Duration(1));
+    CHECK(wrapped.Quantile(probability) >= Duration(1));
+    CHECK(wrapped.Quantile(probability) <= Duration(1199));
+    CHECK(extreme.Quantile(probability) >= Duration(1));
+  }
+}
+
 TEST_CASE("Quantiles forget what is older than two periods") {
   LatencyQuantiles latency;
   const Time start{std::chrono::hours(1)};
--- /dev/null
+++ b/programs/load/load_result_test.cc
@@ -0,0 +1,60 @@
+#include "programs/load/load_result.h"
+
+#include <doctest/doctest.h>
+
+namespace kingcuplock {
+namespace {
+
+auto SmallManifest() -> Manifest {
+  DatabaseConfig database;
+  database.name = "db";
+  database.kinds = {{.name = "book", .access = Access::kWrite, .target_ms = 5},
+                    {.name = "list", .max_age_ms = 100}};
+  return {1, "d", {database}};
+}
+
+auto Done(const std::string& kind, std::int64_t due_us, std::int64_t took_us)
+    -> Operation {
+  Operation out;
+  out.database = "db";
+  out.kind = kind;
+  out.part = kind == "book" ? "p" : "";
+  out.outcome = Outcome::kOk;
+  out.due_us = due_us;
+  out.answered_us = due_us + took_us;
+  return out;
+}
+
+auto SmallHistory() -> History {
+  History out;
+  out.operations = {Done("book", 1'000'000, 4000),
+                    Done("book", 4'000'000, 6000), Done("list", 0, 1000),
+                    Done("list", 0, 3000)};
+  out.operations[2].from_replica = true;
+  return out;
+}
+
+TEST_CASE("Figures of a run are worked out from its history") {
+  const auto result =
+      Summarise(SmallHistory(), SmallManifest(), {.duration_ms = 5000});
+  REQUIRE(result.kinds.size() == 2);
+  CHECK(result.kinds[0].within_target == 1);
+  CHECK(result.kinds[0].p99_us == 6000);
+  CHECK(result.replica_percent == 50.0);
+  CHECK(result.gaps.at(0).longest_ms == 3002);
+  CHECK(result.gaps.at(0).began_ms == 1004);
+  CHECK(result.timeline.size() == 3);
+}
+
+TEST_CASE("A result file reads back, and compares") {
+  const auto result =
+      Summarise(SmallHistory(), SmallManifest(), {.duration_ms = 5000});
+  const auto json = nlohmann::json(result);
+  const auto again = json.get<LoadResult>();
+  CHECK(nlohmann::json(again) == json);
+  CHECK(FormatComparison(result, again).find("+0.0%") != std::string::npos);
+  CHECK(FormatTable(again) == FormatTable(result));
+}
+
+}  // namespace
+}  // namespace kingcuplock
--- /dev/null
+++ b/programs/plot/gnuplot.cc
@@ -0,0 +1,67 @@
+#include "programs/plot/gnuplot.h"
+
+#include <cstdio>
+
+#include <fmt/format.h>
+
+namespace kingcuplock {
+namespace {
+
+auto Terminal(const std::string& path) -> std::string_view {
+  if (path.ends_with(".png")) {
+    return "pngcairo size 1200,800 noenhanced";
+  }
+  if (path.ends_with(".svg")) {
+    return "svg size 1200,800 noenhanced background rgb 'white'";
+  }
+  throw PlotError("\"" + path + "\" is no plot; end its name in .png or .svg");
+}
+
+}  // namespace
+
+auto PlotQuoted(std::string_view text) -> std::string {
+  std::string out = "\"";
+  for (const auto c : text) {
+    if (c == '"' || c == '\\') {
+      out += '\\';
+    }
+    out += c == '\n' ? ' ' : c;
+  }
+  return out + "\"";
+}
+
+GnuplotScript::GnuplotScript(const std::string& path, std::string_view title) {
+  Line(fmt::format("set terminal {}", Terminal(path)));
+  Line(fmt::format("set output {}", PlotQuoted(path)));
+  Line(fmt::format("set title {}", PlotQuoted(title)));
+}
+
+void GnuplotScript::Data(std::string_view name,
+                         std::span<const std::string> rows) {
+  Line(fmt::format("${} << EOD", name));
+  for (const auto& it : rows) {
+    Line(it);
+  }
+  Line("EOD");
+}
+
+void GnuplotScript::Line(std::string_view line) {
+  text_ += line;
+  text_ += '\n';
+}
+
+void GnuplotScript::Draw() const {
+  auto* pipe = popen("gnuplot", "w");
+  if (pipe == nullptr) {
+    throw PlotError("cannot start gnuplot; install gnuplot-nox");
+  }
+  const auto written = std::fwrite(text_.data(), 1, text_.size(), pipe);
+  const auto code = pclose(pipe);
+  if (written != text_.size() || code != 0) {
+    throw PlotError(
+        "gnuplot failed; install gnuplot-nox and check that the "
+        "plot's folder can be written");
+  }
+}
+
+}  // namespace kingcuplock
