--- a/kingcuplock/schema/codec.cc
+++ b/kingcuplock/schema/codec.cc
@@ -1,11 +1,88 @@
 #include "kingcuplock/schema/codec.h"
 
+#include <algorithm>
+
 namespace kingcuplock {
+namespace {
+
+/// Deepest nesting that a decoder accepts. The library's CBOR reader recurses,
+/// so a frame of nested arrays would otherwise exhaust the stack.
+constexpr std::ptrdiff_t kMaxDepth = 64;
+
+/// Follows a frame without building it and stops at kMaxDepth.
+class DepthCheck : public nlohmann::json_sax<nlohmann::json> {
+ public:
+  auto null() -> bool override { return true; }
+  auto boolean(bool) -> bool override { return true; }
+  auto number_integer(number_integer_t) -> bool override { return true; }
+  auto number_unsigned(number_unsigned_t) -> bool override { return true; }
+  auto number_float(number_float_t, const string_t&) -> bool override {
+    return true;
+  }
+  auto string(string_t&) -> bool override { return true; }
+  auto binary(binary_t&) -> bool override { return true; }
+  auto key(string_t&) -> bool override { return true; }
+  auto start_object(std::size_t) -> bool override { return Enter(); }
+  auto end_object() -> bool override { return Leave(); }
+  auto start_array(std::size_t) -> bool override { return Enter(); }
+  auto end_array() -> bool override { return Leave(); }
+  auto parse_error(std::size_t,
+                   const std::string&,
+                   const nlohmann::json::exception&) -> bool override {
+    return false;
+  }
+
+  auto too_deep() const -> bool { return too_deep_; }
+
+ private:
+  auto Enter() -> bool {
+    too_deep_ |= ++depth_ > kMaxDepth;
+    return !too_deep_;
+  }
+  auto Leave() -> bool {
+    --depth_;
+    return true;
+  }
+
+  std::ptrdiff_t depth_ = 0;
+  bool too_deep_ = false;
+};
+
+/// Returns whether the byte can open an array, object or tag.
+auto MayNest(char c, FrameFormat format) -> bool {
+  constexpr auto kFirstCborNest = 0x80U;
+  constexpr auto kLastCborNest = 0xdfU;
+  const auto byte = static_cast<unsigned char>(c);
+  return format == FrameFormat::kJson
+             ? c == '[' || c == '{'
+             : byte >= kFirstCborNest && byte <= kLastCborNest;
+}
+
+/// Throws SchemaError for a frame nested deeper than kMaxDepth. Ordinary
+/// frames hold too few openings and cost one look at their bytes.
+void CheckDepth(std::string_view frame, FrameFormat format) {
+  const auto openings = std::count_if(
+      frame.begin(), frame.end(), [&](char c) { return MayNest(c, format); });
+  if (openings <= kMaxDepth) {
+    return;
+  }
+  DepthCheck check;
+  nlohmann::json::sax_parse(frame.begin(), frame.end(), &check,
+                            format == FrameFormat::kJson
+                                ? nlohmann::json::input_format_t::json
+                                : nlohmann::json::input_format_t::cbor);
+  if (check.too_deep()) {
+    throw SchemaError("frame", "is nested too deeply; send flatter values");
+  }
+}
+
+}  // namespace
 
 auto DecodeFrame(std::string_view frame, FrameFormat format) -> nlohmann::json {
   if (frame.size() > kMaxFrameBytes) {
     throw SchemaError("frame", "is too large; send smaller requests");
   }
+  CheckDepth(frame, format);
   try {
     if (format == FrameFormat::kJson) {
       return nlohmann::json::parse(frame);
--- /dev/null
+++ b/kingcuplock/schema/codec_test.cc
@@ -0,0 +1,24 @@
+#include "kingcuplock/schema/codec.h"
+
+#include <doctest/doctest.h>
+
+namespace kingcuplock {
+namespace {
+
+TEST_CASE("Frames nested without end are refused, in both formats") {
+  constexpr std::size_t kDeep = 2'000'000;
+  CHECK_THROWS_AS(DecodeFrame(std::string(kDeep, '['), FrameFormat::kJson),
+                  SchemaError);
+  CHECK_THROWS_AS(DecodeFrame(std::string(kDeep, '\x81'), FrameFormat::kCbor),
+                  SchemaError);
+}
+
+TEST_CASE("Flat frames with many values are read") {
+  const nlohmann::json flat(std::vector<std::vector<int>>(1000, {1, 2}));
+  for (const auto format : {FrameFormat::kJson, FrameFormat::kCbor}) {
+    CHECK(DecodeFrame(EncodeJson(flat, format), format) == flat);
+  }
+}
+
+}  // namespace
+}  // namespace kingcuplock
