--- a/benchmarks/failover_gap/gap_run.cc
+++ b/benchmarks/failover_gap/gap_run.cc
@@ -99,6 +99,9 @@
     case Fault::kPrimaryFrozen:
       fixture.PauseMember(primary, true);
       break;
+    case Fault::kPrimaryCutOff:
+      fixture.IsolateMember(primary, true);
+      break;
     case Fault::kOwnerAndPrimaryKilled:
       fixture.KillNode(fixture.OwnerOf("db0"));
       fixture.KillMember(primary);
@@ -134,6 +137,8 @@
       return "primary_killed";
     case Fault::kPrimaryFrozen:
       return "primary_frozen";
+    case Fault::kPrimaryCutOff:
+      return "primary_cut_off";
     case Fault::kOwnerAndPrimaryKilled:
       return "owner_and_primary_killed";
     case Fault::kStoreSlow:
--- a/benchmarks/failover_gap/gap_run.h
+++ b/benchmarks/failover_gap/gap_run.h
@@ -33,13 +33,14 @@
 enum class Fault {
   kPrimaryKilled,
   kPrimaryFrozen,
+  kPrimaryCutOff,
   kOwnerAndPrimaryKilled,
   kStoreSlow
 };
 
-inline constexpr std::array<Fault, 4> kFaults = {
-    Fault::kPrimaryKilled, Fault::kPrimaryFrozen, Fault::kOwnerAndPrimaryKilled,
-    Fault::kStoreSlow};
+inline constexpr std::array<Fault, 5> kFaults = {
+    Fault::kPrimaryKilled, Fault::kPrimaryFrozen, Fault::kPrimaryCutOff,
+    Fault::kOwnerAndPrimaryKilled, Fault::kStoreSlow};
 
 /// Returns the name of a fault.
 auto ToString(Fault fault) -> std::string_view;
--- a/benchmarks/failover_gap/main.cc
+++ b/benchmarks/failover_gap/main.cc
@@ -45,14 +45,15 @@
 
 auto TargetOf(Fault fault) -> Target {
   constexpr Target kKilled{500, 1000};
-  constexpr Target kFrozen{0, 10'000};
+  constexpr Target kOther{0, 10'000};
   constexpr Target kBoth{0, 4000};
   constexpr Target kStore{0, 3000};
   switch (fault) {
     case Fault::kPrimaryKilled:
       return kKilled;
     case Fault::kPrimaryFrozen:
-      return kFrozen;
+    case Fault::kPrimaryCutOff:
+      return kOther;
     case Fault::kOwnerAndPrimaryKilled:
       return kBoth;
     case Fault::kStoreSlow:
--- a/kingcuplock/ownership/ownership_property_test.cc
+++ b/kingcuplock/ownership/ownership_property_test.cc
@@ -181,6 +181,28 @@
   }
 }
 
+TEST_CASE("A late statement of a former owner fails in the database") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    NodeFixture fixture({.seed = seed, .nodes = 2});
+    fixture.Settle();
+    const auto owner = fixture.OwnerOf("db0");
+    MemberRequest late;
+    late.op = MemberOp::kExecute;
+    late.epoch = fixture.StatusOf(owner).databases.at(0).epoch;
+    late.term = fixture.Primary("db0").term;
+    late.statements = {{Verb::kPut, "late", "x"}};
+    fixture.KillNode(owner);
+    WriteHistory history(fixture);
+    REQUIRE(history.Resumes(1 - owner, Milliseconds(6000)));
+    const auto answer =
+        fixture.group("db0").Handle(fixture.Primary("db0").name, late,
+                                    fixture.Now().time_since_epoch().count());
+    CHECK(answer.status == MemberStatus::kFenced);
+    CHECK(fixture.Primary("db0").rows.count("late") == 0);
+  }
+}
+
 TEST_CASE("Without the store writes go on while every member confirms") {
   NodeFixture fixture({.seed = 1, .nodes = 2});
   fixture.Settle();
