--- a/kingcuplock/node/node.cc
+++ b/kingcuplock/node/node.cc
@@ -20,6 +20,12 @@
 /// Quiet time in ms after which a stopping instance ends.
 constexpr Milliseconds kStopQuiet{300};
 
+/// Tells the callers of all entry instances apart.
+auto CallerKey(ConnectionId link, std::int64_t caller) -> std::uint64_t {
+  constexpr std::uint64_t kLinkFactor = 0x9e3779b97f4a7c15;
+  return link * kLinkFactor + static_cast<std::uint64_t>(caller);
+}
+
 /// Returns whether an owner of one configuration can go on under the other.
 auto SameGroup(const DatabaseConfig& a, DatabaseConfig b) -> bool {
   b.kinds = a.kinds;
@@ -129,6 +135,9 @@
 void Node::OnClosed(ConnectionId connection) {
   if ((connection & kInboundBit) != 0) {
     entry_.OnCallerClosed(connection);
+    for (auto& [name, owner] : owners_) {
+      owner->OnSourceClosed(connection);
+    }
     return;
   }
   if (store_.OnClosed(connection) || peers_.OnClosed(connection)) {
@@ -196,6 +205,8 @@
     return;
   }
   owned->request = request;
+  owned->source = source;
+  owned->caller = CallerKey(source, forward.caller);
   owned->kind = *kind;
   owned->deadline = timers_.Now() + Milliseconds(request.patience_ms);
   owned->reply = reply;
@@ -301,11 +312,13 @@
   }
   OwnerPorts ports;
   ports.lease_is_valid = [this] { return ownership_.LeaseIsValid(); };
-  ports.write_record = [this, database](std::int64_t term,
-                                        const std::string& primary, Phase phase,
-                                        std::function<void(bool)> written) {
-    ownership_.Write(database, term, primary, phase, std::move(written));
-  };
+  ports.write_record =
+      [this, database](std::int64_t term, const std::string& primary,
+                       Phase phase, const std::vector<TermStart>& term_starts,
+                       std::function<void(bool)> written) {
+        ownership_.Write(database, term, primary, phase, term_starts,
+                         std::move(written));
+      };
   ports.fenced_out = [this, database](std::int64_t epoch) {
     ownership_.Reacquire(database, epoch);
   };
--- a/kingcuplock/owner/answers_test.cc
+++ b/kingcuplock/owner/answers_test.cc
@@ -9,7 +9,7 @@
 namespace kingcuplock {
 namespace {
 
-constexpr auto kLastError = static_cast<int>(ErrorKind::kUnauthorized);
+constexpr auto kLastError = static_cast<int>(ErrorKind::kTransactionsFull);
 
 auto ReadErrorsPage() -> std::string {
   std::ifstream in(std::string(KINGCUPLOCK_SOURCE_DIR) + "/docs/ERRORS.md");
--- a/kingcuplock/owner/replica_reader.h
+++ b/kingcuplock/owner/replica_reader.h
@@ -8,13 +8,15 @@
 ///   if (!reader.TryServe(request)) { runner.Enqueue(request); }
 
 #include <functional>
+#include <list>
+#include <memory>
 #include <string>
 
-#include "kingcuplock/admission/request_queue.h"
 #include "kingcuplock/base/timer_service.h"
 #include "kingcuplock/owner/group_leader.h"
 #include "kingcuplock/owner/owner_request.h"
 #include "kingcuplock/owner/request_runner.h"
+#include "kingcuplock/routing/read_check.h"
 #include "kingcuplock/schema/manifest.h"
 
 namespace kingcuplock {
@@ -29,13 +31,26 @@
                 TimerService& timers,
                 FinishCallback finish,
                 std::function<void(const RequestPtr&)> elsewhere);
+  ~ReplicaReader();
+  ReplicaReader(const ReplicaReader&) = delete;
+  auto operator=(const ReplicaReader&) -> ReplicaReader& = delete;
 
-  /// Takes a request if some replica may serve it, now or when a slot is free.
+  /// Takes a request if some replica may serve it, now or soon: when a slot is
+  /// free, or when the replica has caught up with the session. Refuses it at
+  /// once if the wait for a slot would be longer than its patience. O(members).
   auto TryServe(const RequestPtr& request) -> bool;
 
-  /// Sends what waits for a slot.
+  /// Sends what waits for a slot. O(members) per request sent or given up.
   void Pump();
 
+  /// Looks again at what waits, and takes reads back from members that do not
+  /// respond. To be called after every sample. As Pump(), and O(members) per
+  /// request that waits for a replica to catch up.
+  void OnSampled();
+
+  /// Returns the number of requests that wait.
+  auto Queued() const -> std::size_t { return waiting_.size(); }
+
   /// Forgets a request that waits.
   void Forget(const RequestPtr& request);
 
@@ -43,14 +58,42 @@
   void Clear();
 
  private:
-  auto MayServe(const std::string& member, const OwnerRequest& request) const
-      -> bool;
+  /// What a replica can do for a request.
+  enum class Chance { kNone, kSoon, kBusy, kNow };
+  /// One read at one replica.
+  struct Attempt {
+    RequestPtr request;
+    std::string member;
+    Time sent{};
+    bool abandoned = false;
+  };
+  using AttemptPtr = std::shared_ptr<Attempt>;
+  /// A request that waits for a replica to catch up.
+  struct CatchUp {
+    RequestPtr request;
+    TimerId timer = 0;
+  };
+  /// A request that waits for a slot.
+  struct SlotWait {
+    RequestPtr request;
+    Time since{};
+  };
+
+  auto NeedOf(const OwnerRequest& request) const -> ReadNeed;
+  auto Check() const -> ReadCheck<>;
+  auto ChanceAt(const std::string& member, const OwnerRequest& request) const
+      -> Chance;
+  auto BestChance(const OwnerRequest& request, std::string& member) const
+      -> Chance;
+  void WaitForCatchUp(const RequestPtr& request);
+  void WaitForSlot(const RequestPtr& request);
+  auto ExpectedSlotWait() const -> Duration;
+  auto MaySpill(const SlotWait& waiting) const -> bool;
+  void TryCatchUps();
+  void GiveUpCatchUp(const RequestPtr& request);
   void Run(const std::string& member, const RequestPtr& request);
-  void OnAnswer(const RequestPtr& request,
-                const std::string& member,
-                const MemberAnswer* answer);
-  auto Fits(const OwnerRequest& request, const MemberAnswer& answer) const
-      -> bool;
+  void OnAnswer(const AttemptPtr& attempt, const MemberAnswer* answer);
+  void TakeBackSilent();
 
   const DatabaseConfig& config_;
   GroupLeader& leader_;
@@ -58,7 +101,10 @@
   TimerService& timers_;
   FinishCallback finish_;
   std::function<void(const RequestPtr&)> elsewhere_;
-  RequestQueue<RequestPtr> queue_;
+  std::list<CatchUp> catching_up_;
+  std::list<SlotWait> waiting_;
+  Duration service_{Milliseconds(1)};
+  std::list<AttemptPtr> attempts_;
 };
 
 }  // namespace kingcuplock
--- a/kingcuplock/schema/messages.cc
+++ b/kingcuplock/schema/messages.cc
@@ -24,7 +24,7 @@
 }
 
 namespace {
-constexpr std::array<std::string_view, 23> kErrorKindNames{
+constexpr std::array<std::string_view, 26> kErrorKindNames{
     "none",
     "bad_frame",
     "too_large",
@@ -47,7 +47,10 @@
     "no_manifest",
     "position_lost",
     "leaving",
-    "unauthorized"};
+    "unauthorized",
+    "request_id_reused",
+    "issue_time_missing",
+    "transactions_full"};
 }  // namespace
 
 auto ToString(ErrorKind value) -> std::string_view {
@@ -140,6 +143,7 @@
                           kDefaults.patience_ms);
   internal::WriteOptional(out, "issued_ms", value.issued_ms,
                           kDefaults.issued_ms);
+  internal::WriteOptional(out, "repeated", value.repeated, kDefaults.repeated);
   internal::WriteOptional(out, "token", value.token, kDefaults.token);
 }
 
@@ -153,6 +157,7 @@
   internal::ReadOptional(in, "statements", value.statements);
   internal::ReadOptional(in, "patience_ms", value.patience_ms);
   internal::ReadOptional(in, "issued_ms", value.issued_ms);
+  internal::ReadOptional(in, "repeated", value.repeated);
   internal::ReadOptional(in, "token", value.token);
 }
 
@@ -345,14 +350,17 @@
 void to_json(nlohmann::json& out, const Forward& value) {
   out = nlohmann::json::object();
   out["type"] = "forward";
+  static const Forward kDefaults;
   out["id"] = value.id;
   out["request"] = value.request;
+  internal::WriteOptional(out, "caller", value.caller, kDefaults.caller);
 }
 
 void from_json(const nlohmann::json& in, Forward& value) {
   internal::RequireObject(in, "Forward");
   internal::ReadRequired(in, "id", value.id);
   internal::ReadRequired(in, "request", value.request);
+  internal::ReadOptional(in, "caller", value.caller);
 }
 
 void to_json(nlohmann::json& out, const ForwardAnswer& value) {
@@ -466,9 +474,9 @@
 }
 
 namespace {
-constexpr std::array<std::string_view, 9> kMemberStatusNames{
+constexpr std::array<std::string_view, 10> kMemberStatusNames{
     "done",   "rejected", "fenced",  "not_primary", "stale_term",
-    "behind", "absent",   "no_slot", "expired"};
+    "behind", "absent",   "no_slot", "expired",     "reused"};
 }  // namespace
 
 auto ToString(MemberStatus value) -> std::string_view {
@@ -517,6 +525,8 @@
                           kDefaults.request_id);
   internal::WriteOptional(out, "issued_ms", value.issued_ms,
                           kDefaults.issued_ms);
+  internal::WriteOptional(out, "content_hash", value.content_hash,
+                          kDefaults.content_hash);
   internal::WriteOptional(out, "statements", value.statements,
                           kDefaults.statements);
   internal::WriteOptional(out, "wait_ms", value.wait_ms, kDefaults.wait_ms);
@@ -533,6 +543,7 @@
   internal::ReadOptional(in, "primary", value.primary);
   internal::ReadOptional(in, "request_id", value.request_id);
   internal::ReadOptional(in, "issued_ms", value.issued_ms);
+  internal::ReadOptional(in, "content_hash", value.content_hash);
   internal::ReadOptional(in, "statements", value.statements);
   internal::ReadOptional(in, "wait_ms", value.wait_ms);
 }
@@ -692,6 +703,18 @@
   value = static_cast<Phase>(internal::EnumIndex(in, kPhaseNames));
 }
 
+void to_json(nlohmann::json& out, const TermStart& value) {
+  out = nlohmann::json::object();
+  out["term"] = value.term;
+  out["position"] = value.position;
+}
+
+void from_json(const nlohmann::json& in, TermStart& value) {
+  internal::RequireObject(in, "TermStart");
+  internal::ReadRequired(in, "term", value.term);
+  internal::ReadRequired(in, "position", value.position);
+}
+
 void to_json(nlohmann::json& out, const OwnerRecord& value) {
   out = nlohmann::json::object();
   static const OwnerRecord kDefaults;
@@ -702,6 +725,8 @@
   internal::WriteOptional(out, "primary", value.primary, kDefaults.primary);
   internal::WriteOptional(out, "phase", value.phase, kDefaults.phase);
   internal::WriteOptional(out, "attempt", value.attempt, kDefaults.attempt);
+  internal::WriteOptional(out, "term_starts", value.term_starts,
+                          kDefaults.term_starts);
 }
 
 void from_json(const nlohmann::json& in, OwnerRecord& value) {
@@ -713,6 +738,7 @@
   internal::ReadOptional(in, "primary", value.primary);
   internal::ReadOptional(in, "phase", value.phase);
   internal::ReadOptional(in, "attempt", value.attempt);
+  internal::ReadOptional(in, "term_starts", value.term_starts);
 }
 
 void to_json(nlohmann::json& out, const InstanceEntry& value) {
@@ -924,9 +950,4 @@
                     "unknown frame type; send one of: member_request, control");
 }
 
-const std::string_view kMessagesSchema =
-    R"json({"$schema":"http://json-schema.org/draft-07/schema#","title":"Messages between callers, instances, endpoints and the platform's key-value service","$defs":{"Status":{"description":"Outcome of a caller's request.","enum":["ok","failed","not_run","unknown"]},"ErrorKind":{"description":"Typed reason of an answer that is not ok. docs/ERRORS.md gives the remedy of each.","enum":["none","bad_frame","too_large","unknown_database","unknown_kind","wrong_access","bad_token","overloaded","no_owner","not_owner","patience_spent","primary_unavailable","fenced","lease_lapsed","rejected_by_database","request_id_too_old","connection_lost","not_replicated","transaction_unknown","no_manifest","position_lost","leaving","unauthorized"]},"Verb":{"description":"Operation of one statement.","enum":["get","put","insert","append","remove"]},"Step":{"description":"Part of a transaction that a request carries.","enum":["single","begin","statement","commit","rollback"]},"Statement":{"description":"One statement on a keyed row.","type":"object","required":["verb","key"],"properties":{"verb":{"$ref":"#/$defs/Verb","description":"What to do with the row."},"key":{"type":"string","description":"Row key."},"value":{"type":"string","description":"New value; unused by get and remove."}}},"StatementResult":{"description":"Result of one statement.","type":"object","required":[],"properties":{"found":{"type":"boolean","description":"Whether the row existed before the statement."},"value":{"type":"string","description":"Value of the row, for get."}}},"CallerRequest":{"description":"A caller's request. The id makes it idempotent within the manifest's marker retention.","type":"object","required":["id","database","kind"],"x-type":"request","properties":{"id":{"type":"string","description":"Request id chosen by the caller, unique per request."},"database":{"type":"string","description":"Database name from the manifest."},"kind":{"type":"string","description":"Request kind from the manifest."},"step":{"$ref":"#/$defs/Step","description":"single for a whole transaction in one request."},"transaction":{"type":"string","description":"Transaction handle, for the steps of an interactive transaction."},"statements":{"type":"array","items":{"$ref":"#/$defs/Statement"},"description":"Statements, run in order as one transaction."},"patience_ms":{"type":"integer","default":10000,"description":"Time in ms for which the caller still waits."},"issued_ms":{"type":"integer","description":"Unix time in ms at which the caller first sent this id."},"token":{"type":"string","description":"Session token of the last answer; empty for a new session."}}},"CallerAnswer":{"description":"Answer to a caller's request, matched by id.","type":"object","required":["id","status"],"x-type":"answer","properties":{"id":{"type":"string","description":"Id of the request."},"status":{"$ref":"#/$defs/Status","description":"Outcome."},"error":{"$ref":"#/$defs/ErrorKind","description":"Reason, none when ok."},"message":{"type":"string","description":"Text for people, with the remedy."},"retry_after_ms":{"type":"integer","description":"For not_run: time in ms after which a retry makes sense."},"receipt":{"type":"string","description":"For unknown: the id to ask again with."},"results":{"type":"array","items":{"$ref":"#/$defs/StatementResult"},"description":"One result per statement."},"token":{"type":"string","description":"Session token to send with the next request."},"transaction":{"type":"string","description":"Handle of the open transaction."},"term":{"type":"integer","description":"Term of the member that served the request."},"position":{"type":"integer","description":"Log position that the answer reflects."},"served_by":{"type":"string","description":"Member that served the request."},"from_replica":{"type":"boolean","description":"Whether a replica served it."}}},"StatusQuery":{"description":"Asks an instance for its status.","type":"object","required":["id"],"x-type":"status_query","properties":{"id":{"type":"string","description":"Query id chosen by the caller."}}},"DatabaseStatus":{"description":"What an instance knows of one database.","type":"object","required":["database"],"properties":{"database":{"type":"string","description":"Database name."},"owner":{"type":"string","description":"Owner instance, empty when unknown."},"epoch":{"type":"integer","description":"Ownership epoch."},"term":{"type":"integer","description":"Term of the primary."},"primary":{"type":"string","description":"Primary member."},"phase":{"type":"string","description":"Phase of the owner, empty when this instance is not the owner."},"queued":{"type":"integer","description":"Requests waiting in the owner's queue."}}},"ServiceWindow":{"description":"Requests counted against their service level over one window that ends now.","type":"object","required":["window_ms"],"properties":{"window_ms":{"type":"integer","description":"Length of the window in ms."},"good":{"type":"integer","description":"Requests answered ok within the latency target."},"bad":{"type":"integer","description":"All other requests."},"from_replica":{"type":"integer","description":"Requests served by a replica."}}},"RequestCounter":{"description":"Answers counted per database, request kind and status since the instance started. Requests of a kind that the manifest lacks are counted together under empty names.","type":"object","required":["database","kind"],"properties":{"database":{"type":"string","description":"Database name."},"kind":{"type":"string","description":"Request kind."},"ok":{"type":"integer","description":"Answers with status ok."},"failed":{"type":"integer","description":"Answers with status failed."},"not_run":{"type":"integer","description":"Answers with status not_run."},"unknown":{"type":"integer","description":"Answers with status unknown."},"from_replica":{"type":"integer","description":"Answers served by a replica."},"latency_p50_us":{"type":"integer","description":"Median latency in microseconds over the last whole 5 min, or since the start."},"latency_p99_us":{"type":"integer","description":"99th percentile of the latency in microseconds, over the same time."},"windows":{"type":"array","items":{"$ref":"#/$defs/ServiceWindow"},"description":"Counts against the service level over 5 min, 1 h, 6 h and 3 d."}}},"FailoverGap":{"description":"One failover as the owner saw it.","type":"object","required":["database"],"properties":{"database":{"type":"string","description":"Database name."},"term":{"type":"integer","description":"Term that the failover began."},"suspect_us":{"type":"integer","description":"Time in microseconds from the first failed probe to suspicion."},"record_us":{"type":"integer","description":"Time until the record was written."},"hear_us":{"type":"integer","description":"Time until enough members were heard."},"promote_us":{"type":"integer","description":"Time until the candidate was promoted."},"open_us":{"type":"integer","description":"Time until writes were open again."},"ended_ms_ago":{"type":"integer","description":"Time in ms from the end of the failover to the status."}}},"InstanceStatus":{"description":"Status of an instance.","type":"object","required":["id","instance"],"x-type":"instance_status","properties":{"id":{"type":"string","description":"Id of the query."},"instance":{"type":"string","description":"Instance name."},"manifest_version":{"type":"integer","description":"Manifest version in force, 0 for none."},"leaving":{"type":"boolean","description":"Whether a planned stop has begun."},"lease_valid":{"type":"boolean","description":"Whether the instance holds a valid lease."},"databases":{"type":"array","items":{"$ref":"#/$defs/DatabaseStatus"},"description":"Known databases."},"counters":{"type":"array","items":{"$ref":"#/$defs/RequestCounter"},"description":"Answers counted at this entry."},"failovers":{"type":"array","items":{"$ref":"#/$defs/FailoverGap"},"description":"Newest failovers that this instance carried out."},"uptime)json"
-    R"json(_ms":{"type":"integer","description":"Time in ms since the instance started."}}},"Forward":{"description":"An entry instance's request to the owner.","type":"object","required":["id","request"],"x-type":"forward","properties":{"id":{"type":"integer","description":"Forward id, unique per link."},"request":{"$ref":"#/$defs/CallerRequest","description":"The caller's request with its remaining patience."}}},"ForwardAnswer":{"description":"The owner's answer to a Forward.","type":"object","required":["id","answer"],"x-type":"forward_answer","properties":{"id":{"type":"integer","description":"Forward id."},"answer":{"$ref":"#/$defs/CallerAnswer","description":"Answer for the caller."},"owner_hint":{"type":"string","description":"With error not_owner: the owner that the instance knows."},"epoch":{"type":"integer","description":"Epoch of the hint."}}},"OwnershipHint":{"description":"Who owns a database, as far as the sender knows.","type":"object","required":["database","owner"],"properties":{"database":{"type":"string","description":"Database name."},"owner":{"type":"string","description":"Owner instance."},"epoch":{"type":"integer","description":"Ownership epoch."}}},"Heartbeat":{"description":"Periodic message on each peer link.","type":"object","required":["instance"],"x-type":"heartbeat","properties":{"instance":{"type":"string","description":"Sender."},"manifest_version":{"type":"integer","description":"Manifest version in force at the sender."},"leaving":{"type":"boolean","description":"Whether a planned stop has begun."},"owned":{"type":"array","items":{"$ref":"#/$defs/OwnershipHint"},"description":"Databases that the sender owns."}}},"ManifestWanted":{"description":"Asks a peer for its manifest.","type":"object","required":["instance"],"x-type":"manifest_wanted","properties":{"instance":{"type":"string","description":"Sender."}}},"ManifestOffer":{"description":"A manifest passed on between peers.","type":"object","required":["version","text"],"x-type":"manifest_offer","properties":{"version":{"type":"integer","description":"Manifest version."},"text":{"type":"string","description":"Manifest as JSON text."}}},"HandOver":{"description":"Tells the successor that a database was released to it by a planned stop.","type":"object","required":["database"],"x-type":"hand_over","properties":{"database":{"type":"string","description":"Database name."},"epoch":{"type":"integer","description":"Epoch of the released record."}}},"MemberOp":{"description":"Operation asked of a member of a database group.","enum":["status","read","execute","raise_epoch","lookup","await_position","promote","follow","begin","statement","commit","rollback","prune"]},"MemberStatus":{"description":"Outcome at a member.","enum":["done","rejected","fenced","not_primary","stale_term","behind","absent","no_slot","expired"]},"MemberRole":{"description":"Role of a member.","enum":["replica","primary"]},"MemberRequest":{"description":"Request to one member of a database group.","type":"object","required":["id","op"],"x-type":"member_request","properties":{"id":{"type":"integer","description":"Request id, unique per connection."},"op":{"$ref":"#/$defs/MemberOp","description":"Operation."},"epoch":{"type":"integer","description":"Owner's epoch, checked within the transaction."},"term":{"type":"integer","description":"Expected term, or the new term for promote and follow."},"position":{"type":"integer","description":"Position to await, or that the candidate must hold."},"entry_term":{"type":"integer","description":"For promote: term of the last entry that the candidate must hold."},"primary":{"type":"string","description":"For follow: the member to follow."},"request_id":{"type":"string","description":"Marker written with the transaction."},"issued_ms":{"type":"integer","description":"Issue time of the request id, kept with the marker."},"statements":{"type":"array","items":{"$ref":"#/$defs/Statement"},"description":"Statements."},"wait_ms":{"type":"integer","description":"For await_position: longest wait in ms."}}},"MemberAnswer":{"description":"Answer of a member, with its place in the log.","type":"object","required":["id","status"],"x-type":"member_answer","properties":{"id":{"type":"integer","description":"Request id."},"status":{"$ref":"#/$defs/MemberStatus","description":"Outcome."},"term":{"type":"integer","description":"Term that the member follows."},"entry_term":{"type":"integer","description":"Term of its last log entry."},"position":{"type":"integer","description":"Position of its last log entry; for execute, of the transaction."},"role":{"$ref":"#/$defs/MemberRole","description":"Role."},"epoch":{"type":"integer","description":"Value of the epoch row."},"replayed":{"type":"boolean","description":"Whether the marker was found and the stored result returned."},"results":{"type":"array","items":{"$ref":"#/$defs/StatementResult"},"description":"One result per statement."},"message":{"type":"string","description":"Text for people."}}},"StoreOp":{"description":"Operation of the platform's key-value service.","enum":["get","range","compare_and_swap","lease_grant","lease_renew","lease_revoke","watch"]},"StoreStatus":{"description":"Outcome at the key-value service.","enum":["done","conflict","absent","expired"]},"StoreItem":{"description":"A key with its value.","type":"object","required":["key"],"properties":{"key":{"type":"string","description":"Key."},"value":{"type":"string","description":"Value."},"version":{"type":"integer","description":"Version, raised by every write; 0 when absent."}}},"StoreCall":{"description":"Call to the key-value service.","type":"object","required":["id","op"],"x-type":"store_call","properties":{"id":{"type":"integer","description":"Call id, unique per connection."},"op":{"$ref":"#/$defs/StoreOp","description":"Operation."},"key":{"type":"string","description":"Key, or prefix for range and watch."},"value":{"type":"string","description":"New value."},"expected_version":{"type":"integer","description":"For compare_and_swap: current version, 0 for absent."},"lease":{"type":"integer","description":"Lease to renew, revoke or attach to."},"ttl_ms":{"type":"integer","description":"For lease_grant: time to live in ms."}}},"StoreAnswer":{"description":"Answer of the key-value service.","type":"object","required":["id","status"],"x-type":"store_answer","properties":{"id":{"type":"integer","description":"Call id."},"status":{"$ref":"#/$defs/StoreStatus","description":"Outcome."},"lease":{"type":"integer","description":"Granted lease."},"items":{"type":"array","items":{"$ref":"#/$defs/StoreItem"},"description":"Items read, or the current item on a conflict."}}},"StoreEvent":{"description":"Change pushed to a watch.","type":"object","required":["item"],"x-type":"store_event","properties":{"item":{"$ref":"#/$defs/StoreItem","description":"The item after the change."},"deleted":{"type":"boolean","description":"Whether the key was removed."}}},"Phase":{"description":"Phase of an ownership record.","enum":["released","serving","promoting"]},"OwnerRecord":{"description":"Ownership of one database, kept in the key-value service.","type":"object","required":["epoch","owner"],"properties":{"epoch":{"type":"integer","description":"Raised at every change of owner."},"owner":{"type":"string","description":"Owner instance."},"lease":{"type":"integer","description":"Lease that holds the record."},"term":{"type":"integer","description":"Newest term begun."},"primary":{"type":"string","description":"Primary of that term, empty while promoting."},"phase":{"$ref":"#/$defs/Phase","description":"Phase."},"attempt":{"type":"string","description":"Id of the write that set this record, to resolve lost answers."}}},"InstanceEntry":{"description":"One instance in the platform's list.","type":"object","required":["name","host","port"],"properties":{"name":{"type":"string","description":"Instance or endpoint name."},"host":{"type":"string","description":"IP number."},"port":{"type":"integer","de)json"
-    R"json(scription":"TCP port."},"data_centre":{"type":"string","description":"Data centre."},"leaving":{"type":"boolean","description":"Whether it is about to stop."}}},"InstanceList":{"description":"The platform's lagging list of live and leaving instances and endpoints.","type":"object","required":["instances"],"properties":{"instances":{"type":"array","items":{"$ref":"#/$defs/InstanceEntry"},"description":"Instances of the system."},"endpoints":{"type":"array","items":{"$ref":"#/$defs/InstanceEntry"},"description":"Endpoints."}}},"ControlAction":{"description":"Fault or command for a stand-in.","enum":["kill","revive","pause","resume","isolate","join","lag","silence","delay_answers","reorder_answers","lose_answers","down","up","slow","expire_leases","dump","put","stats"]},"ControlCommand":{"description":"Command to a stand-in.","type":"object","required":["id","action"],"x-type":"control","properties":{"id":{"type":"integer","description":"Command id."},"action":{"$ref":"#/$defs/ControlAction","description":"Action."},"member":{"type":"string","description":"Member concerned; empty for all."},"ms":{"type":"integer","description":"Duration or delay in ms."},"count":{"type":"integer","description":"Number of answers concerned."},"key":{"type":"string","description":"For put: key."},"value":{"type":"string","description":"For put: value."}}},"ControlAnswer":{"description":"Answer of a stand-in to a command.","type":"object","required":["id"],"x-type":"control_answer","properties":{"id":{"type":"integer","description":"Command id."},"message":{"type":"string","description":"What was done."},"items":{"type":"array","items":{"$ref":"#/$defs/StoreItem"},"description":"Rows, for dump."}}},"CallerMessage":{"description":"Frame from a caller.","oneOf":["CallerRequest","StatusQuery"]},"CallerReply":{"description":"Frame to a caller.","oneOf":["CallerAnswer","InstanceStatus"]},"PeerMessage":{"description":"Frame on a peer link.","oneOf":["Forward","ForwardAnswer","Heartbeat","ManifestWanted","ManifestOffer","HandOver"]},"InboundMessage":{"description":"Any frame that an instance accepts on its listening port.","oneOf":["CallerRequest","StatusQuery","Forward","Heartbeat","ManifestWanted","ManifestOffer","HandOver"]},"StoreReply":{"description":"Frame from the key-value service.","oneOf":["StoreAnswer","StoreEvent"]},"StoreMessage":{"description":"Frame to the store stand-in.","oneOf":["StoreCall","ControlCommand"]},"MemberMessage":{"description":"Frame to the database stand-in.","oneOf":["MemberRequest","ControlCommand"]}}})json";
-
 }  // namespace kingcuplock
--- a/kingcuplock/schema/messages.h
+++ b/kingcuplock/schema/messages.h
@@ -54,7 +54,10 @@
   kNoManifest,
   kPositionLost,
   kLeaving,
-  kUnauthorized
+  kUnauthorized,
+  kRequestIdReused,
+  kIssueTimeMissing,
+  kTransactionsFull
 };
 
 /// Returns the name of `value` on the wire.
@@ -145,6 +148,9 @@
   std::int64_t patience_ms{10000};
   /// Unix time in ms at which the caller first sent this id.
   std::int64_t issued_ms{};
+  /// Whether this id may have been sent before; then not_run is said only where
+  /// no earlier sending ran either.
+  bool repeated{};
   /// Session token of the last answer; empty for a new session.
   std::string token{};
 
@@ -362,6 +368,9 @@
   std::int64_t id{};
   /// The caller's request with its remaining patience.
   CallerRequest request{};
+  /// The caller's connection at the entry instance, for a fair order between
+  /// callers.
+  std::int64_t caller{};
 
   auto operator==(const Forward&) const -> bool = default;
 };
@@ -519,7 +528,8 @@
   kBehind,
   kAbsent,
   kNoSlot,
-  kExpired
+  kExpired,
+  kReused
 };
 
 /// Returns the name of `value` on the wire.
@@ -563,6 +573,9 @@
   std::string request_id{};
   /// Issue time of the request id, kept with the marker.
   std::int64_t issued_ms{};
+  /// Hash of the request's content, kept with the marker; a different one for
+  /// the same request id is refused.
+  std::string content_hash{};
   /// Statements.
   std::vector<Statement> statements{};
   /// For await_position: longest wait in ms.
@@ -739,6 +752,23 @@
 /// Reads a name into `value`. Throws SchemaError for an unknown one.
 void from_json(const nlohmann::json& in, Phase& value);
 
+/// Where a term of a database group began.
+struct TermStart {
+  /// Term.
+  std::int64_t term{};
+  /// Log position of its first entry, or a lower one.
+  std::int64_t position{};
+
+  auto operator==(const TermStart&) const -> bool = default;
+};
+
+/// Writes `value` to `out`, leaving out members that have their default.
+void to_json(nlohmann::json& out, const TermStart& value);
+
+/// Reads `value`. Throws SchemaError naming the member that is missing or
+/// wrong.
+void from_json(const nlohmann::json& in, TermStart& value);
+
 /// Ownership of one database, kept in the key-value service.
 struct OwnerRecord {
   /// Raised at every change of owner.
@@ -755,6 +785,9 @@
   Phase phase{};
   /// Id of the write that set this record, to resolve lost answers.
   std::string attempt{};
+  /// Where the terms that were served began, to tell a session what a failover
+  /// lost.
+  std::vector<TermStart> term_starts{};
 
   auto operator==(const OwnerRecord&) const -> bool = default;
 };
@@ -943,7 +976,4 @@
 /// other.
 auto ReadMemberMessage(const nlohmann::json& in) -> MemberMessage;
 
-/// The JSON Schema itself.
-extern const std::string_view kMessagesSchema;
-
 }  // namespace kingcuplock
--- a/testing/node_fixture.h
+++ b/testing/node_fixture.h
@@ -25,6 +25,7 @@
 #include "kingcuplock/schema/manifest.h"
 #include "kingcuplock/schema/messages.h"
 #include "standin/database/database_group.h"
+#include "standin/database/transaction_session.h"
 #include "standin/store/key_value_store.h"
 
 namespace kingcuplock {
@@ -48,8 +49,14 @@
   std::int64_t open_us = 0;
   /// Time that a member takes for a request in microseconds.
   std::int64_t service_us = 500;
+  /// Age in ms that reads of kind "stale" accept.
+  std::int64_t stale_age_ms = 5000;
   /// Acknowledgement of every database.
   AcknowledgementMode acknowledgement = AcknowledgementMode::kReplicated;
+  /// Time in ms for which every database keeps request ids.
+  std::int64_t marker_retention_ms = 86'400'000;
+  /// Whether members keep markers; false shows what they are for.
+  bool markers = true;
 };
 
 /// An answer that a caller got, and when.
@@ -128,9 +135,6 @@
   void StopNode(std::size_t node);
   void CutPeers(std::size_t a, std::size_t b, bool cut);
 
-  /// Returns whether the instance runs, paused or not.
-  auto IsAlive(std::size_t node) const -> bool { return nodes_[node].alive; }
-
   /// Returns whether the instance is neither killed nor paused.
   auto IsRunning(std::size_t node) const -> bool {
     return nodes_[node].alive && !nodes_[node].paused;
@@ -151,6 +155,7 @@
   auto OwnerOf(const std::string& database) -> std::size_t;
   auto StatusOf(std::size_t node) -> InstanceStatus;
   auto nodes() const -> std::size_t { return nodes_.size(); }
+  auto IsAlive(std::size_t node) const -> bool { return nodes_[node].alive; }
   auto Now() const -> Time { return now_; }
   auto random() -> std::mt19937_64& { return random_; }
 
@@ -175,6 +180,7 @@
     ConnectionId remote_id = 0;
     bool open = false;
     bool silent = false;
+    TransactionSession transaction;
   };
   struct Instance {
     std::unique_ptr<TimerService> timers;
@@ -230,6 +236,7 @@
                    const MemberAnswer& answer);
   void AnswerWaiting();
   void PushStoreEvents();
+  void EndInbound(const Link& link);
   void DropLinksTo(const std::string& member);
   void CountConnections(const std::string& member);
   auto FindLink(std::size_t node, ConnectionId id) -> Link*;
