--- a/kingcuplock/owner/group_leader.cc
+++ b/kingcuplock/owner/group_leader.cc
@@ -78,6 +78,13 @@
   }
 }
 
+void GroupLeader::Stop() {
+  phase_ = OwnerPhase::kStopped;
+  if (promotion_) {
+    promotion_->Cancel();
+  }
+}
+
 void GroupLeader::NoteHeard() {
   members_.at(primary_).watch->NoteHeard();
 }
@@ -135,6 +142,10 @@
   if (!primary_known) {
     return;
   }
+  if (answer.term > term_) {
+    OvertakeTerm(answer.term);
+    return;
+  }
   acks_->Note(name, {asked, answer.term, member.place});
   if (name == primary_) {
     const auto leads =
@@ -199,6 +210,15 @@
   BeginPromotion();
 }
 
+// A member that follows a later term shows that this leader's term has ended.
+// The write of the record decides whether that was another owner's doing.
+void GroupLeader::OvertakeTerm(std::int64_t term) {
+  if (ports_.lease_is_valid()) {
+    term_ = term;
+    BeginPromotion();
+  }
+}
+
 // ---------------------------------------------------- fence and promotion
 
 void GroupLeader::Discover() {
@@ -221,7 +241,9 @@
 void GroupLeader::OnDiscovered(
     const std::map<std::string, MemberAnswer>& heard) {
   std::string best;
+  std::int64_t newest = 0;
   for (const auto& [name, answer] : heard) {
+    newest = std::max(newest, answer.term);
     const auto leads = answer.role == MemberRole::kPrimary;
     if (leads && (best.empty() || answer.term > heard.at(best).term)) {
       best = name;
@@ -231,10 +253,9 @@
     Discover();
     return;
   }
-  if (best.empty()) {
-    for (const auto& [name, answer] : heard) {
-      term_ = std::max(term_, answer.term);
-    }
+  if (best.empty() || heard.at(best).term < newest) {
+    // The primary of the newest term is not among those heard.
+    term_ = std::max(term_, newest);
     BeginPromotion();
     return;
   }
@@ -283,7 +304,7 @@
     return;
   }
   if (answer->status == MemberStatus::kFenced) {
-    ports_.fenced_out();
+    ports_.fenced_out(answer->epoch);
     return;
   }
   if (answer->status != MemberStatus::kDone) {
@@ -291,6 +312,7 @@
     return;
   }
   fence_ = LogPlace{answer->entry_term, answer->position};
+  fence_raised_at_ = timers_.Now();
   outbox_.Log(Event::kFenceRaised,
               {{"database", config_.name},
                {"epoch", std::to_string(record_.epoch)},
@@ -307,7 +329,7 @@
   if (phase_ != OwnerPhase::kFencing || !fence_) {
     return;
   }
-  if (!acks_->Allows(fence_->position, timers_.Now(),
+  if (!acks_->Allows(fence_->position, fence_raised_at_,
                      ports_.lease_is_valid())) {
     return;
   }
@@ -358,7 +380,7 @@
   };
   ports.done = [this](std::int64_t term, const std::string& primary,
                       LogPlace end) { OnPromoted(term, primary, end); };
-  ports.failed = [this] { ports_.fenced_out(); };
+  ports.failed = [this] { ports_.fenced_out(0); };
   return ports;
 }
 
--- a/testing/node_fixture.h
+++ b/testing/node_fixture.h
@@ -41,8 +41,11 @@
   /// Statement slots and connections of each member.
   std::int64_t slots = 2;
   std::int64_t connections = 16;
-  /// Longest one-way delay of a message in microseconds.
+  /// Shortest and longest one-way delay of a message in microseconds.
+  std::int64_t min_delay_us = 100;
   std::int64_t max_delay_us = 800;
+  /// Time that a member takes to accept a connection in microseconds.
+  std::int64_t open_us = 0;
   /// Time that a member takes for a request in microseconds.
   std::int64_t service_us = 500;
   /// Age in ms that reads of kind "stale" accept.
@@ -53,6 +56,8 @@
 
 /// An answer that a caller got, and when.
 struct FixtureAnswer {
+  /// Number that Send() returned for the request.
+  std::uint64_t number = 0;
   CallerRequest request;
   CallerAnswer answer;
   Time asked{};
@@ -77,8 +82,9 @@
   /// Runs until `done` holds, `longest` at most. Returns whether it held.
   auto RunUntil(const std::function<bool()>& done, Duration longest) -> bool;
 
-  /// Sends a request to an instance; the answer appears in answers().
-  void Send(std::size_t node, const CallerRequest& request);
+  /// Sends a request to an instance; the answer appears in answers() under
+  /// the number returned here.
+  auto Send(std::size_t node, const CallerRequest& request) -> std::uint64_t;
 
   /// Sends a request and runs until its answer. Throws std::runtime_error if
   /// none comes within the patience and a second.
@@ -249,7 +255,7 @@
   };
   std::map<std::pair<std::size_t, ConnectionId>, Inbound> inbound_;
   ConnectionId last_inbound_ = 0;
-  std::map<std::string, std::pair<CallerRequest, Time>> asked_;
+  std::map<ConnectionId, std::pair<CallerRequest, Time>> asked_;
   std::vector<FixtureAnswer> answers_;
   std::map<std::size_t, InstanceStatus> statuses_;
   std::int64_t most_connections_ = 0;
