--- a/kingcuplock/node/session_consistency_test.cc
+++ b/kingcuplock/node/session_consistency_test.cc
@@ -239,6 +239,35 @@
   }
 }
 
+TEST_CASE("A term whose start was never recorded ends earlier sessions only") {
+  NodeFixture fixture({.seed = 11, .nodes = 3});
+  fixture.Settle();
+  const auto first = fixture.Ask(0, fixture.Append("w1", "row", "a"));
+  REQUIRE(first.status == Status::kOk);
+  fixture.KillMember(fixture.Primary("db0").name);
+  REQUIRE(fixture.RunUntil([&] { return fixture.Primary("db0").term == 2; },
+                           Milliseconds(2000)));
+  // The owner serves the new term, but dies before the store knows its start.
+  fixture.SetStoreDown(true);
+  REQUIRE(
+      fixture.RunUntil([&] { return fixture.OwnerOf("db0") < fixture.nodes(); },
+                       Milliseconds(1000)));
+  const auto second = fixture.Ask(0, fixture.Append("w2", "row", "b"));
+  REQUIRE(second.status == Status::kOk);
+  fixture.KillNode(fixture.OwnerOf("db0"));
+  fixture.SetStoreDown(false);
+  REQUIRE(
+      fixture.RunUntil([&] { return fixture.OwnerOf("db0") < fixture.nodes(); },
+                       Milliseconds(10'000)));
+  auto read = fixture.Get("r1", "fresh", "row");
+  read.token = first.token;
+  CHECK(fixture.Ask(fixture.OwnerOf("db0"), read).error ==
+        ErrorKind::kPositionLost);
+  read.id = "r2";
+  read.token = second.token;
+  CHECK(fixture.Ask(fixture.OwnerOf("db0"), read).results.at(0).value == "a,b");
+}
+
 TEST_CASE("With replicated acknowledgement no session sees what may be lost") {
   NodeFixture fixture({.seed = 7, .nodes = 3});
   fixture.Settle();
--- a/kingcuplock/owner/replica_reader.cc
+++ b/kingcuplock/owner/replica_reader.cc
@@ -85,7 +85,8 @@
 auto ReplicaReader::TryServe(const RequestPtr& request) -> bool {
   const auto may_be_stale =
       request->kind.access == Access::kRead && request->kind.max_age_ms > 0;
-  if (!may_be_stale) {
+  // Stopping reports open reads as lost; none may be sent again.
+  if (!may_be_stale || leader_.phase() == OwnerPhase::kStopped) {
     return false;
   }
   std::string member;
