--- a/kingcuplock/base/log.cc
+++ b/kingcuplock/base/log.cc
@@ -70,11 +70,16 @@
       {kWritesOpen, kInfo, "writes open"},
       {kManifestInForce, kInfo, "manifest in force"},
       {kManifestRejected, kError, "manifest rejected"},
+      {kManifestConflict, kError, "one manifest version has two contents"},
+      {kDatabaseReconfigured, kInfo, "owner takes a new configuration"},
       {kPeerUp, kInfo, "peer link up"},
       {kPeerDown, kWarning, "peer link down"},
       {kStoreUp, kInfo, "store reachable"},
       {kStoreDown, kWarning, "store not reachable"},
       {kMemberConnectionReplaced, kWarning, "member connection replaced"},
+      {kPeerMoved, kInfo, "peer has another address"},
+      {kEndpointLeaving, kInfo, "endpoint is leaving, gets no new work"},
+      {kInstanceListRejected, kError, "platform's list rejected"},
       {kFrameRejected, kWarning, "frame rejected"},
   };
   return kCatalogue;
--- a/kingcuplock/base/log.h
+++ b/kingcuplock/base/log.h
@@ -38,11 +38,16 @@
   kWritesOpen = 305,
   kManifestInForce = 400,
   kManifestRejected = 401,
+  kManifestConflict = 402,
+  kDatabaseReconfigured = 403,
   kPeerUp = 500,
   kPeerDown = 501,
   kStoreUp = 502,
   kStoreDown = 503,
   kMemberConnectionReplaced = 504,
+  kPeerMoved = 505,
+  kEndpointLeaving = 506,
+  kInstanceListRejected = 507,
   kFrameRejected = 600,
 };
 
--- a/kingcuplock/entry/entry.cc
+++ b/kingcuplock/entry/entry.cc
@@ -40,6 +40,7 @@
   const auto retry = kind == ErrorKind::kNoManifest ? kNoOwnerRetryMs : 0;
   auto answer = Refusal(request.id, kind, retry);
   answer.token = request.token;
+  answer.leaving = leaving_;
   ports_.answered(request, answer, Duration::zero());
   outbox_.Send(caller, std::move(answer));
 }
@@ -71,6 +72,11 @@
 }
 
 void Entry::OnRequest(ConnectionId caller, CallerRequest request) {
+  last_request_ = timers_.Now();
+  if (refusing_) {
+    Refuse(caller, request, ErrorKind::kLeaving);
+    return;
+  }
   auto pending = std::make_shared<PendingRequest>();
   if (!Resolve(caller, request, pending->kind)) {
     return;
@@ -232,7 +238,19 @@
   Finish(pending, Refusal(id, reason, kNoOwnerRetryMs));
 }
 
+void Entry::AnswerAll(ErrorKind reason) {
+  while (!pending_.empty()) {
+    const auto pending = pending_.begin()->second;
+    const auto may_run = pending->in_doubt || !pending->sent_to.empty();
+    const auto is_write = pending->kind.access == Access::kWrite;
+    const auto& id = pending->request.id;
+    Finish(pending,
+           may_run && is_write ? InDoubt(id, reason) : Refusal(id, reason, 0));
+  }
+}
+
 void Entry::Finish(const PendingPtr& pending, CallerAnswer answer) {
+  answer.leaving = leaving_;
   timers_.Cancel(pending->deadline_timer);
   forwarded_.erase(pending->forward_id);
   pending_.erase(pending->id);
--- a/kingcuplock/entry/entry.h
+++ b/kingcuplock/entry/entry.h
@@ -63,6 +63,19 @@
   /// Sends what waits for an owner of `database`.
   void OnOwnerChanged(const std::string& database);
 
+  /// Marks every answer from now on, so that callers go to another instance.
+  void SetLeaving() { leaving_ = true; }
+
+  /// Refuses every new request as kLeaving; it did not run.
+  void RefuseNew() { refusing_ = true; }
+
+  /// Answers every request at hand: not_run where it can't have run, otherwise
+  /// in doubt, with `reason`.
+  void AnswerAll(ErrorKind reason);
+
+  /// Returns when the last request arrived.
+  auto LastRequest() const -> Time { return last_request_; }
+
   /// Returns the number of requests without an answer.
   auto Pending() const -> std::size_t { return pending_.size(); }
 
@@ -102,6 +115,9 @@
   TimerService& timers_;
   Outbox& outbox_;
   EntryPorts ports_;
+  bool leaving_ = false;
+  bool refusing_ = false;
+  Time last_request_{};
   std::uint64_t last_id_ = 0;
   std::int64_t last_forward_ = 0;
   std::unordered_map<std::uint64_t, PendingPtr> pending_;
--- a/kingcuplock/failover/candidate.h
+++ b/kingcuplock/failover/candidate.h
@@ -43,6 +43,8 @@
   std::optional<LogPlace> acknowledged;
   /// Whether the manifest's time for allowing a loss has passed.
   bool loss_allowed = false;
+  /// Members on endpoints that are leaving; chosen only for want of another.
+  std::span<const std::string> leaving;
 };
 
 /// Verdict on the hearings so far.
@@ -61,6 +63,25 @@
   Hearing candidate;
 };
 
+/// Returns the furthest member that stays and holds everything acknowledged,
+/// or nullptr. Only an owner that acknowledged everything itself can tell.
+inline auto FindStaying(std::span<const Hearing> heard,
+                        const CandidateQuestion& question) -> const Hearing* {
+  const Hearing* best = nullptr;
+  for (const auto& it : heard) {
+    const auto stays =
+        std::find(question.leaving.begin(), question.leaving.end(),
+                  it.member) == question.leaving.end();
+    const auto holds_all =
+        question.acknowledged && it.last_entry >= *question.acknowledged;
+    const auto better = best == nullptr || it.last_entry > best->last_entry;
+    if (stays && holds_all && better) {
+      best = &it;
+    }
+  }
+  return best;
+}
+
 /// Returns the member that is furthest, if it holds everything acknowledged.
 /// A write is acknowledged once two members hold it, so hearing all but one
 /// finds it; an owner that knows the highest acknowledged place needs just a
@@ -85,6 +106,11 @@
   if (too_low) {
     return {CandidateVerdict::kTermTooLow, {}};
   }
+  if (!question.leaving.empty()) {
+    if (const auto* staying = FindStaying(heard, question)) {
+      return {CandidateVerdict::kChosen, *staying};
+    }
+  }
   const auto needed =
       Rules::kHearEnough ? std::max<std::size_t>(question.members, 2) - 1 : 1;
   const auto holds_all =
--- a/kingcuplock/failover/promotion.cc
+++ b/kingcuplock/failover/promotion.cc
@@ -101,7 +101,7 @@
   const auto loss_allowed = allowed_after.count() > 0 &&
                             timers_.Now() - times_.began >= allowed_after;
   return {start_.database.members.size(), term_, start_.acknowledged,
-          loss_allowed};
+          loss_allowed, start_.leaving};
 }
 
 void Promotion::Consider() {
--- a/kingcuplock/failover/promotion.h
+++ b/kingcuplock/failover/promotion.h
@@ -31,6 +31,8 @@
   std::int64_t newest_term = 0;
   /// Highest place acknowledged, if this owner knows it.
   std::optional<LogPlace> acknowledged;
+  /// Members on endpoints that are leaving.
+  std::vector<std::string> leaving = {};
 };
 
 /// When each step ended.
--- a/kingcuplock/manifest/manifest_check.cc
+++ b/kingcuplock/manifest/manifest_check.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 #include "kingcuplock/schema/codec.h"
 #include "kingcuplock/schema/schema_check.h"
@@ -22,14 +23,9 @@
 
 class CrossCheck {
  public:
-  auto Run(const Manifest& manifest) -> std::vector<ManifestFault> {
-    for (std::size_t n = 0; n < manifest.databases.size(); ++n) {
-      CheckDatabase(manifest.databases[n], fmt::format("/databases/{}", n));
-    }
-    return std::move(faults_);
-  }
+  /// Returns the faults of all databases checked.
+  auto Take() -> std::vector<ManifestFault> { return std::move(faults_); }
 
- private:
   void CheckDatabase(const DatabaseConfig& database, const std::string& at) {
     Unique(databases_, database.name, at + "/name", "database");
     if (database.name.find_first_of("/;") != std::string::npos) {
@@ -58,6 +54,7 @@
     }
   }
 
+ private:
   void CheckKind(const KindConfig& kind,
                  std::set<std::string>& names,
                  const std::string& at) {
@@ -90,25 +87,87 @@
   std::set<std::string> addresses_;
 };
 
+/// Returns the faults by the schema, each with what is expected there.
+auto CheckSchema(std::string_view text) -> std::vector<ManifestFault> {
+  const auto faults = CheckAgainst(kManifestSchema, text);
+  std::vector<ManifestFault> out;
+  for (const auto& it : faults) {
+    const auto is_echo = it.description.starts_with("Failed to validate");
+    const auto has_cause =
+        is_echo && std::any_of(faults.begin(), faults.end(), [&](auto& other) {
+          const auto specific =
+              !other.description.starts_with("Failed to validate");
+          return specific && other.pointer.starts_with(it.pointer);
+        });
+    if (has_cause) {
+      continue;
+    }
+    const auto expected = DescribeExpected(kManifestSchema, it.pointer);
+    const ManifestFault fault{it.pointer,
+                              expected.empty()
+                                  ? it.description
+                                  : it.description + " Expected: " + expected};
+    const auto known = std::any_of(out.begin(), out.end(), [&](auto& other) {
+      return other.pointer == fault.pointer && other.remedy == fault.remedy;
+    });
+    if (!known) {
+      out.push_back(fault);
+    }
+  }
+  return out;
+}
+
 }  // namespace
 
 ManifestError::ManifestError(std::vector<ManifestFault> faults)
     : std::runtime_error(Summary(faults)), faults_(std::move(faults)) {}
 
 auto CheckManifest(std::string_view text) -> std::vector<ManifestFault> {
-  std::vector<ManifestFault> faults;
-  for (auto& it : CheckAgainst(kManifestSchema, text)) {
-    faults.push_back({std::move(it.pointer), std::move(it.description)});
-  }
-  if (!faults.empty()) {
+  auto faults = CheckSchema(text);
+  const auto document = nlohmann::json::parse(text, nullptr, false);
+  if (!document.is_object() || !document.contains("databases") ||
+      !document["databases"].is_array()) {
     return faults;
   }
-  try {
-    return CrossCheck().Run(
-        DecodeFrame(text, FrameFormat::kJson).get<Manifest>());
-  } catch (const SchemaError& ex) {
-    return {{"", ex.what()}};
+  // A database that can't be read has its faults by the schema.
+  CrossCheck check;
+  for (std::size_t n = 0; n < document["databases"].size(); ++n) {
+    try {
+      check.CheckDatabase(document["databases"][n].get<DatabaseConfig>(),
+                          fmt::format("/databases/{}", n));
+    } catch (const SchemaError&) {
+      continue;
+    }
+  }
+  for (auto& it : check.Take()) {
+    faults.push_back(std::move(it));
+  }
+  return faults;
+}
+
+auto CheckChange(const Manifest& in_force, const Manifest& next)
+    -> std::vector<ManifestFault> {
+  std::vector<ManifestFault> faults;
+  for (std::size_t n = 0; n < next.databases.size(); ++n) {
+    const auto& database = next.databases[n];
+    const auto* before = FindDatabase(in_force, database.name);
+    if (before == nullptr) {
+      continue;
+    }
+    const auto gone = std::count_if(
+        before->members.begin(), before->members.end(), [&](const auto& it) {
+          return std::find(database.members.begin(), database.members.end(),
+                           it) == database.members.end();
+        });
+    if (gone > 1) {
+      faults.push_back(
+          {fmt::format("/databases/{}/members", n),
+           fmt::format("takes {} members of {} away at once, which could lose "
+                       "acknowledged writes; take one away with each version",
+                       gone, database.name)});
+    }
   }
+  return faults;
 }
 
 auto ParseManifest(std::string_view text) -> Manifest {
--- a/kingcuplock/manifest/manifest_check.h
+++ b/kingcuplock/manifest/manifest_check.h
@@ -35,9 +35,15 @@
   std::vector<ManifestFault> faults_;
 };
 
-/// Returns every fault of the manifest, by schema and by cross-checks.
+/// Returns every fault of the manifest, by schema and by cross-checks. A
+/// database with faults by the schema is cross-checked as far as it is read.
 auto CheckManifest(std::string_view text) -> std::vector<ManifestFault>;
 
+/// Returns the faults of a change from the manifest in force to the next one,
+/// which each are whole: steps that could lose acknowledged writes.
+auto CheckChange(const Manifest& in_force, const Manifest& next)
+    -> std::vector<ManifestFault>;
+
 /// Returns the manifest. Throws ManifestError with every fault.
 auto ParseManifest(std::string_view text) -> Manifest;
 
--- a/kingcuplock/manifest/manifest_keeper.cc
+++ b/kingcuplock/manifest/manifest_keeper.cc
@@ -1,41 +1,112 @@
 #include "kingcuplock/manifest/manifest_keeper.h"
 
-#include <utility>
+#include <fmt/format.h>
 
 #include "kingcuplock/manifest/manifest_check.h"
+#include "kingcuplock/schema/codec.h"
 
 namespace kingcuplock {
+namespace {
+
+/// Parameters of the 64-bit FNV-1a hash.
+constexpr std::uint64_t kHashStart = 14695981039346656037U;
+constexpr std::uint64_t kHashFactor = 1099511628211U;
+
+}  // namespace
+
+auto HashManifest(const Manifest& manifest) -> std::string {
+  auto hash = kHashStart;
+  for (const auto it : EncodeJson(manifest, FrameFormat::kJson)) {
+    hash ^= static_cast<unsigned char>(it);
+    hash *= kHashFactor;
+  }
+  return fmt::format("{:016x}", hash);
+}
 
 ManifestKeeper::ManifestKeeper(std::string deployment,
                                Outbox& outbox,
-                               std::function<void()> on_change)
+                               std::function<void(const Manifest&)> on_change,
+                               ManifestRules rules)
     : deployment_(std::move(deployment)),
       outbox_(outbox),
-      on_change_(std::move(on_change)) {}
+      on_change_(std::move(on_change)),
+      rules_(rules) {}
 
-auto ManifestKeeper::Offer(std::string_view text) -> bool {
-  if (text == text_) {
+auto ManifestKeeper::Offer(std::string_view text, std::string_view source)
+    -> bool {
+  if (text == text_ && !text.empty()) {
     return true;
   }
+  Manifest manifest;
   try {
-    auto manifest = ParseManifest(text);
-    if (manifest.deployment != deployment_) {
-      throw ManifestError({{"/deployment", "is not " + deployment_ +
-                                               "; publish it elsewhere"}});
-    }
-    if (manifest.version <= manifest_.version) {
-      return false;
-    }
-    manifest_ = std::move(manifest);
-    text_ = std::string(text);
+    manifest = ParseManifest(text);
   } catch (const ManifestError& ex) {
-    outbox_.Log(Event::kManifestRejected, {{"reason", ex.what()}});
+    ReportRefusal(text, source, ex.what());
     return false;
   }
+  if (manifest.deployment != deployment_) {
+    ReportRefusal(text, source,
+                  fmt::format("it is for deployment {}, not {}; "
+                              "publish it elsewhere",
+                              manifest.deployment, deployment_));
+    return false;
+  }
+  if (!IsNewer(manifest, source)) {
+    return manifest == manifest_;
+  }
+  std::swap(manifest_, manifest);
+  text_ = std::string(text);
+  hash_ = HashManifest(manifest_);
   outbox_.Log(Event::kManifestInForce,
-              {{"version", std::to_string(manifest_.version)}});
-  on_change_();
+              {{"version", std::to_string(manifest_.version)},
+               {"hash", hash_},
+               {"source", std::string(source)}});
+  on_change_(manifest);
   return true;
 }
 
+auto ManifestKeeper::IsNewer(const Manifest& manifest, std::string_view source)
+    -> bool {
+  if (!rules_.versions_only_rise) {
+    return manifest != manifest_;
+  }
+  if (manifest.version == manifest_.version && manifest != manifest_) {
+    ReportConflict(source, HashManifest(manifest));
+  }
+  return manifest.version > manifest_.version;
+}
+
+void ManifestKeeper::NotePeer(std::string_view peer,
+                              std::int64_t version,
+                              std::string_view hash) {
+  const auto same_version = version != 0 && version == manifest_.version;
+  if (same_version && !hash.empty() && hash != hash_) {
+    ReportConflict(peer, hash);
+  }
+}
+
+void ManifestKeeper::ReportConflict(std::string_view source,
+                                    std::string_view hash) {
+  if (!conflicts_.emplace(manifest_.version, hash).second) {
+    return;
+  }
+  outbox_.Log(Event::kManifestConflict,
+              {{"version", std::to_string(manifest_.version)},
+               {"hash", hash_},
+               {"other_hash", std::string(hash)},
+               {"source", std::string(source)},
+               {"remedy", "publish the wanted content under a new version"}});
+}
+
+void ManifestKeeper::ReportRefusal(std::string_view text,
+                                   std::string_view source,
+                                   std::string reason) {
+  const auto hash = std::hash<std::string_view>{}(text);
+  if (std::exchange(refused_, hash) == hash) {
+    return;
+  }
+  outbox_.Log(Event::kManifestRejected,
+              {{"source", std::string(source)}, {"reason", std::move(reason)}});
+}
+
 }  // namespace kingcuplock
--- a/kingcuplock/membership/peer_links.cc
+++ b/kingcuplock/membership/peer_links.cc
@@ -8,6 +8,8 @@
 
 /// Pause in ms before a link is opened again.
 constexpr Milliseconds kReconnectPause{100};
+/// Time in ms after which a silent peer that is not listed is forgotten.
+constexpr Milliseconds kForgetAfter{10'000};
 
 }  // namespace
 
@@ -22,32 +24,80 @@
       outbox_(outbox),
       callbacks_(std::move(callbacks)) {}
 
-void PeerLinks::SetPeers(std::span<const PeerAddress> addresses) {
-  std::map<std::string, Peer, std::less<>> old;
-  std::swap(old, peers_);
-  for (const auto& it : addresses) {
+void PeerLinks::SetPeers(std::span<const InstanceEntry> listed) {
+  for (auto& [name, peer] : peers_) {
+    peer.listed.reset();
+    peer.listed_as_leaving = false;
+  }
+  for (const auto& it : listed) {
     if (it.name == self_) {
       continue;
     }
-    auto node = old.extract(it.name);
-    const auto same = !node.empty() && node.mapped().address == it;
-    auto& peer = peers_[it.name];
-    if (same) {
-      peer = std::move(node.mapped());
-      continue;
+    const PeerAddress address{it.name, it.host, it.port};
+    if (!peers_.contains(it.name)) {
+      Add(address);
     }
-    if (!node.empty()) {
-      old.insert(std::move(node));
+    auto& peer = peers_.at(it.name);
+    peer.listed = address;
+    peer.listed_as_leaving = it.leaving;
+    if (peer.address != address && !peer.IsLive()) {
+      Move(peer, address);
     }
-    peer.address = it;
-    Connect(peer);
   }
-  for (auto& [name, peer] : old) {
+  ForgetUnlisted();
+  callbacks_.changed();
+}
+
+void PeerLinks::Add(const PeerAddress& address) {
+  auto& peer = peers_[address.name];
+  peer.address = address;
+  peer.last_heard = timers_.Now();
+  Connect(peer);
+}
+
+void PeerLinks::Move(Peer& peer, const PeerAddress& address) {
+  outbox_.Log(Event::kPeerMoved, {{"peer", address.name},
+                                  {"host", address.host},
+                                  {"port", std::to_string(address.port)}});
+  if (peer.connection != 0) {
     by_connection_.erase(peer.connection);
     outbox_.Close(peer.connection);
-    callbacks_.down(name);
   }
-  callbacks_.changed();
+  peer.address = address;
+  peer.heard = false;
+  peer.leaving = false;
+  Connect(peer);
+  callbacks_.down(address.name);
+}
+
+void PeerLinks::ForgetUnlisted() {
+  std::vector<std::string> gone;
+  for (const auto& [name, peer] : peers_) {
+    const auto silent = timers_.Now() - peer.last_heard >= kForgetAfter;
+    if (!peer.listed && !peer.heard && silent) {
+      gone.push_back(name);
+    }
+  }
+  for (const auto& it : gone) {
+    const auto node = peers_.extract(it);
+    by_connection_.erase(node.mapped().connection);
+    outbox_.Close(node.mapped().connection);
+    callbacks_.down(it);
+  }
+}
+
+void PeerLinks::OnInboundHeartbeat(const Heartbeat& heartbeat) {
+  const PeerAddress address{heartbeat.instance, heartbeat.host, heartbeat.port};
+  if (heartbeat.instance == self_ || heartbeat.leaving ||
+      address.host.empty() || address.port == 0) {
+    return;
+  }
+  const auto it = peers_.find(heartbeat.instance);
+  if (it == peers_.end()) {
+    Add(address);
+  } else if (it->second.address != address && !it->second.IsLive()) {
+    Move(it->second, address);
+  }
 }
 
 void PeerLinks::Start() {
@@ -71,8 +121,6 @@
     }
     if (now - peer.last_heard > Milliseconds(timing_.peer_timeout_ms)) {
       silent.push_back(name);
-    } else {
-      outbox_.Send(peer.connection, callbacks_.heartbeat());
     }
   }
   for (const auto& it : silent) {
@@ -81,9 +129,19 @@
     by_connection_.erase(peer.connection);
     Lose(peer);
   }
+  SendHeartbeats();
+  ForgetUnlisted();
   timers_.After(Milliseconds(timing_.heartbeat_ms), [this] { Tick(); });
 }
 
+void PeerLinks::SendHeartbeats() {
+  for (auto& [name, peer] : peers_) {
+    if (peer.open) {
+      outbox_.Send(peer.connection, callbacks_.heartbeat());
+    }
+  }
+}
+
 void PeerLinks::Lose(Peer& peer) {
   const auto name = peer.address.name;
   peer.open = false;
@@ -93,8 +151,14 @@
   }
   timers_.After(kReconnectPause, [this, name] {
     const auto it = peers_.find(name);
-    if (it != peers_.end() && it->second.connection == 0) {
-      Connect(it->second);
+    if (it == peers_.end() || it->second.connection != 0) {
+      return;
+    }
+    auto& peer = it->second;
+    if (peer.listed && peer.address != *peer.listed && !peer.heard) {
+      Move(peer, *peer.listed);
+    } else {
+      Connect(peer);
     }
   });
   callbacks_.down(name);
@@ -117,7 +181,7 @@
 auto PeerLinks::Live() const -> std::vector<std::string> {
   std::vector<std::string> live{self_};
   for (const auto& [name, peer] : peers_) {
-    if (peer.heard && !peer.leaving) {
+    if (peer.IsLive() && !peer.listed_as_leaving) {
       live.push_back(name);
     }
   }
@@ -158,7 +222,7 @@
   }
   peer->last_heard = timers_.Now();
   if (const auto* heartbeat = std::get_if<Heartbeat>(&message)) {
-    const auto was_live = peer->heard && !peer->leaving;
+    const auto was_live = peer->IsLive();
     if (!std::exchange(peer->heard, true)) {
       outbox_.Log(Event::kPeerUp, {{"peer", peer->address.name}});
     }
--- a/kingcuplock/membership/peer_links.h
+++ b/kingcuplock/membership/peer_links.h
@@ -1,15 +1,18 @@
 #pragma once
 
 /// Links to the other instances: one outbound connection each, with heartbeats
-/// both ways. A link that is silent is replaced.
+/// both ways. A link that is silent is replaced. The platform's list, which
+/// lags, is joined with what the peers themselves tell: a listed peer that does
+/// not answer is not live, and one that answers is kept although not listed.
 ///
 /// Example:
 ///   PeerLinks peers(name, timing, timers, outbox, callbacks);
-///   peers.SetPeers(addresses);
+///   peers.SetPeers(directory.instances());
 ///   peers.Send("proxy-2", forward);
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -45,12 +48,20 @@
             Outbox& outbox,
             PeerCallbacks callbacks);
 
-  /// Sets the peers to link to; links to others are closed.
-  void SetPeers(std::span<const PeerAddress> peers);
+  /// Sets the peers listed. A peer that answers keeps its link, wherever the
+  /// list places it; one that does not is sought where the list says.
+  void SetPeers(std::span<const InstanceEntry> listed);
 
   /// Begins to send heartbeats.
   void Start();
 
+  /// Sends a heartbeat to every peer now.
+  void SendHeartbeats();
+
+  /// Learns a peer, or its new address, from its own heartbeat on an inbound
+  /// connection.
+  void OnInboundHeartbeat(const Heartbeat& heartbeat);
+
   /// Sends a message. Returns false if the link is not up.
   auto Send(std::string_view peer, OutboundMessage message) -> bool;
 
@@ -73,9 +84,17 @@
     bool heard = false;
     bool leaving = false;
     Time last_heard{};
+    /// Where the platform's list places it, if it is listed.
+    std::optional<PeerAddress> listed;
+    bool listed_as_leaving = false;
+
+    auto IsLive() const -> bool { return heard && !leaving; }
   };
 
   void Connect(Peer& peer);
+  void Move(Peer& peer, const PeerAddress& address);
+  void Add(const PeerAddress& address);
+  void ForgetUnlisted();
   void Tick();
   void Lose(Peer& peer);
   auto FindByConnection(ConnectionId connection) -> Peer*;
--- /dev/null
+++ b/kingcuplock/node/membership_test.cc
@@ -0,0 +1,133 @@
+#include <cstdint>
+#include <string>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "testing/node_fixture.h"
+
+namespace kingcuplock {
+namespace {
+
+/// Target: a leaving endpoint gets no new work after this time.
+constexpr Milliseconds kNoNewWork{3000};
+
+auto ListOf(const NodeFixture& fixture, std::size_t count) -> InstanceList {
+  InstanceList list;
+  for (std::size_t n = 0; n < count; ++n) {
+    list.instances.push_back(fixture.EntryOf(n));
+  }
+  return list;
+}
+
+auto Endpoint(const std::string& member, bool leaving) -> InstanceEntry {
+  return {member, "127.0.0.1", 1, "dc-1", leaving};
+}
+
+/// Reads `count` times and returns how often `member` served.
+auto ReadsServedBy(NodeFixture& fixture, const std::string& member, int count)
+    -> int {
+  auto served = 0;
+  for (auto n = 0; n < count; ++n) {
+    const auto id = member + std::to_string(fixture.answers().size());
+    const auto answer =
+        fixture.Ask(static_cast<std::size_t>(n) % fixture.nodes(),
+                    fixture.Get(id, "stale", "row"));
+    REQUIRE(answer.status == Status::kOk);
+    served += answer.served_by == member ? 1 : 0;
+  }
+  return served;
+}
+
+TEST_CASE("A leaving replica gets no reads, and gets them again afterwards") {
+  NodeFixture fixture({.seed = 1, .nodes = 3});
+  fixture.Settle();
+  fixture.RunFor(Milliseconds(500));
+  REQUIRE(ReadsServedBy(fixture, "db0-2", 40) > 0);
+  auto list = ListOf(fixture, 3);
+  list.endpoints = {Endpoint("db0-2", true)};
+  fixture.PublishList(list);
+  fixture.RunFor(kNoNewWork);
+  CHECK(ReadsServedBy(fixture, "db0-2", 40) == 0);
+  list.endpoints = {Endpoint("db0-2", false)};
+  fixture.PublishList(list);
+  fixture.RunFor(kNoNewWork);
+  CHECK(ReadsServedBy(fixture, "db0-2", 40) > 0);
+}
+
+TEST_CASE("A leaving primary is replaced within 3 s and cuts no write") {
+  rc::check("planned change of primary", [] {
+    const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
+    NodeFixture fixture({.seed = seed, .nodes = 3});
+    fixture.Settle();
+    auto list = ListOf(fixture, 3);
+    list.endpoints = {Endpoint("db0-1", true), Endpoint("db0-3", true)};
+    constexpr int kWrites = 60;
+    for (auto n = 0; n < kWrites; ++n) {
+      if (n == 10) {
+        fixture.PublishList(list);
+      }
+      fixture.Send(static_cast<std::size_t>(n) % 3,
+                   fixture.Append("w" + std::to_string(n), "row", "x"));
+      fixture.RunFor(Milliseconds(20 + fixture.random()() % 20));
+    }
+    RC_ASSERT(fixture.Primary("db0").name == "db0-2");
+    fixture.RunFor(kNoNewWork);
+    RC_ASSERT(fixture.answers().size() == kWrites);
+    for (const auto& it : fixture.answers()) {
+      RC_ASSERT(it.answer.status == Status::kOk);
+    }
+    const auto& row = fixture.Primary("db0").rows.at("row");
+    RC_ASSERT(std::count(row.begin(), row.end(), 'x') == kWrites);
+  });
+}
+
+TEST_CASE("A listed instance that is dead owns nothing and delays nobody") {
+  NodeFixture fixture({.seed = 3, .nodes = 4});
+  fixture.Settle();
+  fixture.PublishList(ListOf(fixture, 4));
+  const auto owner = fixture.OwnerOf("db0");
+  fixture.KillNode(owner);
+  REQUIRE(
+      fixture.RunUntil([&] { return fixture.OwnerOf("db0") < fixture.nodes(); },
+                       Milliseconds(6000)));
+  CHECK(fixture.OwnerOf("db0") != owner);
+}
+
+TEST_CASE("A live instance that is not listed yet serves and is forwarded to") {
+  NodeFixture fixture({.seed = 4, .nodes = 3});
+  fixture.Settle();
+  const auto owner = fixture.OwnerOf("db0");
+  InstanceList list;
+  for (std::size_t n = 0; n < 3; ++n) {
+    if (n != owner) {
+      list.instances.push_back(fixture.EntryOf(n));
+    }
+  }
+  fixture.PublishList(list);
+  fixture.RunFor(Milliseconds(15'000));
+  CHECK(fixture.OwnerOf("db0") == owner);
+  const auto answer =
+      fixture.Ask((owner + 1) % 3, fixture.Append("w1", "row", "x"));
+  CHECK(answer.status == Status::kOk);
+}
+
+TEST_CASE("An instance replaced at another address is found by its heartbeat") {
+  for (std::size_t moved = 0; moved < 3; ++moved) {
+    NodeFixture fixture({.seed = 5, .nodes = 3});
+    fixture.Settle();
+    // The list keeps telling the old address.
+    fixture.PublishList(ListOf(fixture, 3));
+    fixture.MoveNode(moved);
+    fixture.RunFor(Milliseconds(5000));
+    REQUIRE(fixture.Logged(Event::kPeerMoved) >= 2);
+    for (std::size_t n = 0; n < 3; ++n) {
+      const auto id = "w" + std::to_string(n);
+      CHECK(fixture.Ask(n, fixture.Append(id, "row", "x")).status ==
+            Status::kOk);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace kingcuplock
--- a/kingcuplock/node/node.cc
+++ b/kingcuplock/node/node.cc
@@ -15,16 +15,8 @@
 constexpr std::string_view kPlatformPrefix = "platform/";
 /// Key of the platform's list of instances and endpoints.
 constexpr std::string_view kInstancesKey = "platform/instances";
-/// Interval in ms at which a planned stop looks whether it is complete.
-constexpr Milliseconds kStopPoll{20};
-/// Quiet time in ms after which a stopping instance ends.
-constexpr Milliseconds kStopQuiet{300};
-
-/// Returns whether an owner of one configuration can go on under the other.
-auto SameGroup(const DatabaseConfig& a, DatabaseConfig b) -> bool {
-  b.kinds = a.kinds;
-  return a == b;
-}
+/// Address that stands for every own address, of no use to a peer.
+constexpr std::string_view kAnyHost = "0.0.0.0";
 
 auto KeyPrefix(const ProxySettings& settings) -> std::string {
   return "kingcuplock/" + settings.deployment + "/";
@@ -35,13 +27,22 @@
 Node::Node(ProxySettings settings,
            std::string incarnation,
            TimerService& timers,
-           Outbox& outbox)
+           Outbox& outbox,
+           ManifestRules manifest_rules)
     : settings_(std::move(settings)),
       names_{settings_.instance, std::move(incarnation), KeyPrefix(settings_)},
       timers_(timers),
       outbox_(outbox),
       store_(settings_.store, settings_.timing, timers, outbox),
-      manifests_(settings_.deployment, outbox, [this] { OnManifestChanged(); }),
+      sync_({names_.key_prefix + "manifest", settings_.instance,
+             settings_.deployment},
+            timers,
+            store_,
+            outbox,
+            {[this] { return peers_.Live(); },
+             [this](const Manifest& previous) { OnManifestChanged(previous); }},
+            manifest_rules),
+      directory_(outbox),
       ownership_(
           names_,
           settings_.timing,
@@ -69,7 +70,7 @@
       entry_(settings_.instance,
              timers,
              outbox,
-             {[this]() -> const Manifest& { return manifests_.manifest(); },
+             {[this]() -> const Manifest& { return manifests().manifest(); },
               [this](const std::string& database) { return OwnerOf(database); },
               [this](const std::string& database, RequestPtr request) {
                 return SubmitHere(database, std::move(request));
@@ -87,17 +88,18 @@
 
 void Node::Start() {
   started_ = timers_.Now();
-  store_.Watch(names_.key_prefix + "manifest",
-               [this](const StoreItem& item, bool deleted) {
-                 OnManifestItem(item, deleted);
-               });
+  sync_.Start();
   store_.Watch(std::string(kPlatformPrefix),
                [this](const StoreItem& item, bool deleted) {
                  OnPlatformItem(item, deleted);
                });
   ownership_.Start();
   store_.Start();
-  peers_.SetPeers(settings_.peers);
+  std::vector<InstanceEntry> peers;
+  for (const auto& it : settings_.peers) {
+    peers.push_back({it.name, it.host, it.port, "", false});
+  }
+  peers_.SetPeers(peers);
   peers_.Start();
 }
 
@@ -164,15 +166,14 @@
     outbox_.Send(source, BuildStatus(query->id));
   } else if (const auto* forward = std::get_if<Forward>(&message)) {
     OnForward(source, *forward);
-  } else if (std::holds_alternative<Heartbeat>(message)) {
-    outbox_.Send(source, BuildHeartbeat());
+  } else if (const auto* heartbeat = std::get_if<Heartbeat>(&message)) {
+    OnInboundHeartbeat(source, *heartbeat);
   } else if (std::holds_alternative<ManifestWanted>(message)) {
-    outbox_.Send(source,
-                 ManifestOffer{manifests_.version(), manifests_.text()});
+    outbox_.Send(source, BuildOffer());
   } else if (const auto* offer = std::get_if<ManifestOffer>(&message)) {
-    manifests_.Offer(offer->text);
+    sync_.OnOffer(*offer, "peer");
   } else if (const auto* hand_over = std::get_if<HandOver>(&message)) {
-    ownership_.Evaluate(hand_over->database);
+    ownership_.AcceptHandOver(hand_over->database);
   }
 }
 
@@ -182,7 +183,7 @@
   };
   const auto& request = forward.request;
   auto owned = std::make_shared<OwnerRequest>();
-  const auto* database = FindDatabase(manifests_.manifest(), request.database);
+  const auto* database = FindDatabase(manifests().manifest(), request.database);
   const auto* kind =
       database == nullptr ? nullptr : FindKind(*database, request.kind);
   if (kind == nullptr) {
@@ -208,14 +209,30 @@
   if (const auto* answer = std::get_if<ForwardAnswer>(&message)) {
     entry_.OnForwardAnswer(peer, *answer);
   } else if (const auto* offer = std::get_if<ManifestOffer>(&message)) {
-    manifests_.Offer(offer->text);
+    sync_.OnOffer(*offer, peer);
+  } else if (std::holds_alternative<ManifestWanted>(message)) {
+    peers_.Send(peer, BuildOffer());
   }
 }
 
 void Node::OnHeartbeatAnswered(const Heartbeat& heartbeat) {
-  if (heartbeat.manifest_version > manifests_.version()) {
-    peers_.Send(heartbeat.instance, ManifestWanted{settings_.instance});
-  }
+  sync_.OnHeartbeat(heartbeat, [&](ManifestWanted wanted) {
+    peers_.Send(heartbeat.instance, std::move(wanted));
+  });
+  NoteOwners(heartbeat);
+}
+
+// The peer may reach this instance while this one can't reach the peer.
+void Node::OnInboundHeartbeat(ConnectionId source, const Heartbeat& heartbeat) {
+  outbox_.Send(source, BuildHeartbeat());
+  peers_.OnInboundHeartbeat(heartbeat);
+  sync_.OnHeartbeat(heartbeat, [&](ManifestWanted wanted) {
+    outbox_.Send(source, std::move(wanted));
+  });
+  NoteOwners(heartbeat);
+}
+
+void Node::NoteOwners(const Heartbeat& heartbeat) {
   for (const auto& it : heartbeat.owned) {
     auto& hint = hints_[it.database];
     if (it.epoch >= hint.epoch) {
@@ -226,58 +243,31 @@
 
 // ------------------------------------------- configuration and membership
 
-void Node::OnManifestChanged() {
-  counters_.SetManifest(manifests_.manifest());
-  std::vector<std::string> names;
-  for (const auto& it : manifests_.manifest().databases) {
-    names.push_back(it.name);
-  }
-  ownership_.SetDatabases(names);
-  for (const auto& it : names) {
-    ownership_.Evaluate(it);
+void Node::OnPlatformItem(const StoreItem& item, bool deleted) {
+  if (deleted || item.key != kInstancesKey || !directory_.Update(item.value)) {
+    return;
   }
-  RestartChangedOwners();
-}
-
-void Node::RestartChangedOwners() {
+  peers_.SetPeers(directory_.instances());
   for (auto& [name, owner] : owners_) {
-    const auto* config = FindDatabase(manifests_.manifest(), name);
-    if (config == nullptr) {
-      owner->Drain([this, name = name] { ReleaseOwned(name); });
-    } else if (!SameGroup(*config, owner->config())) {
-      // A new epoch fences the statements of the present owner.
-      owner->Drain([this, name = name] { ownership_.Reacquire(name, 0); });
+    if (const auto* it = FindDatabase(manifests().manifest(), name)) {
+      owner->SetLeaving(directory_.LeavingMembers(*it));
     }
   }
 }
 
-void Node::OnManifestItem(const StoreItem& item, bool deleted) {
-  if (!deleted && item.key == names_.key_prefix + "manifest") {
-    manifests_.Offer(item.value);
-  }
-}
-
-void Node::OnPlatformItem(const StoreItem& item, bool deleted) {
-  if (deleted || item.key != kInstancesKey) {
-    return;
-  }
-  try {
-    const auto list =
-        DecodeFrame(item.value, FrameFormat::kJson).get<InstanceList>();
-    std::vector<PeerAddress> peers;
-    for (const auto& it : list.instances) {
-      peers.push_back({it.name, it.host, it.port});
-    }
-    peers_.SetPeers(peers);
-  } catch (const SchemaError& ex) {
-    outbox_.Log(Event::kFrameRejected, {{"reason", ex.what()}});
-  }
+auto Node::BuildOffer() const -> ManifestOffer {
+  return {manifests().version(), manifests().text()};
 }
 
 auto Node::BuildHeartbeat() const -> Heartbeat {
   Heartbeat out;
   out.instance = settings_.instance;
-  out.manifest_version = manifests_.version();
+  out.manifest_version = manifests().version();
+  out.manifest_hash = manifests().hash();
+  if (settings_.listen.host != kAnyHost) {
+    out.host = settings_.listen.host;
+    out.port = settings_.listen.port;
+  }
   out.leaving = leaving_;
   for (const auto& [name, owner] : owners_) {
     const auto* record = ownership_.RecordOf(name);
@@ -295,8 +285,11 @@
 }
 
 void Node::StartOwner(const std::string& database, const OwnerRecord& record) {
-  const auto* config = FindDatabase(manifests_.manifest(), database);
+  const auto* config = FindDatabase(manifests().manifest(), database);
   if (config == nullptr) {
+    // Removed from the manifest while the ownership was being taken.
+    timers_.After(Duration::zero(),
+                  [this, database] { ReleaseOwned(database); });
     return;
   }
   OwnerPorts ports;
@@ -319,17 +312,11 @@
   auto* raw = owner.get();
   owners_[database] = std::move(owner);
   raw->Start();
+  raw->SetLeaving(directory_.LeavingMembers(*config));
 }
 
 void Node::OnLost(const std::string& database) {
-  auto node = owners_.extract(database);
-  if (node.empty()) {
-    return;
-  }
-  node.mapped()->Stop();
-  // The loss may be reported from within a callback of this owner.
-  retired_owners_.push_back(std::move(node.mapped()));
-  timers_.After(Duration::zero(), [this] { retired_owners_.clear(); });
+  Retire(database);
 }
 
 auto Node::OwnerOf(const std::string& database) const -> std::string {
@@ -351,63 +338,15 @@
   return true;
 }
 
-// ------------------------------------------------------------ planned stop
-
-void Node::BeginStop() {
-  if (std::exchange(leaving_, true)) {
-    return;
-  }
-  outbox_.Log(Event::kProxyStopping, {{"instance", settings_.instance}});
-  stop_began_ = timers_.Now();
-  last_busy_ = timers_.Now();
-  ownership_.StopAcquiring();
-  for (auto& [name, owner] : owners_) {
-    owner->Drain([this, name = name] { ReleaseOwned(name); });
-  }
-  StopWhenIdle();
-}
-
-void Node::ReleaseOwned(const std::string& database) {
-  const auto* record = ownership_.RecordOf(database);
-  const auto epoch = record == nullptr ? 0 : record->epoch;
-  ownership_.Release(database, [this, database, epoch](bool released) {
-    if (!released) {
-      return;
-    }
-    outbox_.Log(Event::kOwnerReleased, {{"database", database}});
-    auto live = peers_.Live();
-    std::erase(live, settings_.instance);
-    const auto order = RendezvousOrder(database, live);
-    if (!order.empty()) {
-      peers_.Send(order.front(), HandOver{database, epoch});
-    }
-  });
-}
-
-void Node::StopWhenIdle() {
-  const auto now = timers_.Now();
-  if (entry_.Pending() > 0 || !owners_.empty()) {
-    last_busy_ = now;
-  }
-  const auto quiet = now - last_busy_ >= kStopQuiet;
-  const auto overdue =
-      now - stop_began_ >= Milliseconds(settings_.timing.drain_ms);
-  if (quiet || overdue) {
-    ownership_.StopLease();
-    outbox_.CompleteStop();
-    return;
-  }
-  timers_.After(kStopPoll, [this] { StopWhenIdle(); });
-}
-
 auto Node::BuildStatus(const std::string& id) const -> InstanceStatus {
   InstanceStatus out;
   out.id = id;
   out.instance = settings_.instance;
-  out.manifest_version = manifests_.version();
+  out.manifest_version = manifests().version();
+  out.manifest_hash = manifests().hash();
   out.leaving = leaving_;
   out.lease_valid = ownership_.LeaseIsValid();
-  for (const auto& it : manifests_.manifest().databases) {
+  for (const auto& it : manifests().manifest().databases) {
     DatabaseStatus database;
     database.database = it.name;
     database.owner = OwnerOf(it.name);
--- a/kingcuplock/node/node.h
+++ b/kingcuplock/node/node.h
@@ -12,8 +12,10 @@
 ///   for (auto& action : outbox.Take()) { Perform(action); }
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -21,7 +23,8 @@
 #include "kingcuplock/actions/outbox.h"
 #include "kingcuplock/base/timer_service.h"
 #include "kingcuplock/entry/entry.h"
-#include "kingcuplock/manifest/manifest_keeper.h"
+#include "kingcuplock/manifest/manifest_sync.h"
+#include "kingcuplock/membership/instance_directory.h"
 #include "kingcuplock/membership/peer_links.h"
 #include "kingcuplock/metrics/failover_log.h"
 #include "kingcuplock/metrics/request_counters.h"
@@ -40,7 +43,8 @@
   Node(ProxySettings settings,
        std::string incarnation,
        TimerService& timers,
-       Outbox& outbox);
+       Outbox& outbox,
+       ManifestRules manifest_rules = {});
   ~Node();
   Node(const Node&) = delete;
   auto operator=(const Node&) -> Node& = delete;
@@ -52,7 +56,7 @@
   void Handle(const NodeEvent& event);
 
   /// Returns whether a manifest is in force.
-  auto HasManifest() const -> bool { return manifests_.version() != 0; }
+  auto HasManifest() const -> bool { return manifests().version() != 0; }
 
  private:
   // Events.
@@ -63,24 +67,34 @@
   void OnForward(ConnectionId source, const Forward& forward);
   void OnPeerMessage(const std::string& peer, const PeerMessage& message);
   void OnHeartbeatAnswered(const Heartbeat& heartbeat);
+  void OnInboundHeartbeat(ConnectionId source, const Heartbeat& heartbeat);
+  void NoteOwners(const Heartbeat& heartbeat);
 
   // Configuration and membership.
-  void OnManifestChanged();
-  void RestartChangedOwners();
-  void OnManifestItem(const StoreItem& item, bool deleted);
+  auto manifests() const -> const ManifestKeeper& { return sync_.keeper(); }
+  auto BuildOffer() const -> ManifestOffer;
+  void OnManifestChanged(const Manifest& previous);
   void OnPlatformItem(const StoreItem& item, bool deleted);
   auto BuildHeartbeat() const -> Heartbeat;
 
   // Ownership.
   void OnAcquired(const std::string& database, const OwnerRecord& record);
   void OnLost(const std::string& database);
+  void Retire(const std::string& database);
   void StartOwner(const std::string& database, const OwnerRecord& record);
   auto OwnerOf(const std::string& database) const -> std::string;
   auto SubmitHere(const std::string& database, RequestPtr request) -> bool;
 
+  // Change of an owned database's configuration.
+  void Reconfigure(const std::string& database);
+  void TryReconfigure(const std::string& database);
+  void RestartOwner(const std::string& database);
+  void DrainOwner(const std::string& database, std::function<void()> done);
+
   // Planned stop.
   void BeginStop();
   void ReleaseOwned(const std::string& database);
+  void NotifySuccessor(const std::string& database, std::int64_t epoch);
   void StopWhenIdle();
 
   auto BuildStatus(const std::string& id) const -> InstanceStatus;
@@ -90,7 +104,8 @@
   TimerService& timers_;
   Outbox& outbox_;
   StoreClient store_;
-  ManifestKeeper manifests_;
+  ManifestSync sync_;
+  InstanceDirectory directory_;
   OwnershipKeeper ownership_;
   PeerLinks peers_;
   Entry entry_;
@@ -99,6 +114,8 @@
   std::vector<std::unique_ptr<DatabaseOwner>> retired_owners_;
   std::map<std::string, OwnershipHint> hints_;
   FailoverLog failovers_;
+  /// Databases whose owner is about to take a new configuration.
+  std::set<std::string> reconfiguring_;
   Time started_{};
   bool leaving_ = false;
   Time stop_began_{};
--- /dev/null
+++ b/kingcuplock/node/planned_stop_test.cc
@@ -0,0 +1,217 @@
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "testing/node_fixture.h"
+
+namespace kingcuplock {
+namespace {
+
+/// What a run under load gave.
+struct LoadResult {
+  int sent = 0;
+  int not_ok = 0;
+  int unanswered = 0;
+  std::int64_t slowest_ms = 0;
+};
+
+/// Callers that write one request after the other to the instance that they
+/// are connected to, and leave it when an answer says so or it is gone. The
+/// balancer gives them an instance that accepts connections.
+class CallerLoad {
+ public:
+  CallerLoad(NodeFixture& fixture, std::size_t callers)
+      : fixture_(fixture), callers_(callers), closed_(fixture.nodes(), false) {
+    for (std::size_t n = 0; n < callers; ++n) {
+      callers_[n].node = n % fixture.nodes();
+    }
+  }
+
+  /// The instance accepts no connections from now on, or again.
+  void SetClosed(std::size_t node, bool closed) { closed_[node] = closed; }
+
+  /// Sends for `duration`.
+  void RunFor(Duration duration) {
+    const auto until = fixture_.Now() + duration;
+    while (fixture_.Now() < until) {
+      for (std::size_t n = 0; n < callers_.size(); ++n) {
+        Act(n);
+      }
+      fixture_.RunFor(Milliseconds(2));
+    }
+  }
+
+  auto Result() -> LoadResult {
+    const auto all_answered = [this] {
+      TakeAnswers();
+      return std::none_of(callers_.begin(), callers_.end(),
+                          [](const auto& it) { return it.waits; });
+    };
+    fixture_.RunUntil(all_answered, Milliseconds(12'000));
+    LoadResult out;
+    out.sent = sent_;
+    out.not_ok = not_ok_;
+    out.slowest_ms = slowest_ms_;
+    for (const auto& it : callers_) {
+      out.unanswered += it.waits ? 1 : 0;
+    }
+    return out;
+  }
+
+ private:
+  struct Caller {
+    std::size_t node = 0;
+    bool waits = false;
+    Time next{};
+  };
+
+  void Act(std::size_t n) {
+    TakeAnswers();
+    auto& it = callers_[n];
+    if (it.waits || fixture_.Now() < it.next) {
+      return;
+    }
+    if (fixture_.Stopped(it.node)) {
+      Reconnect(it);
+    }
+    it.waits = true;
+    ++sent_;
+    const auto id = std::to_string(n) + ":" + std::to_string(sent_);
+    fixture_.Send(it.node, fixture_.Append(id, "row" + std::to_string(n), "x"));
+  }
+
+  void TakeAnswers() {
+    for (; taken_ < fixture_.answers().size(); ++taken_) {
+      const auto& got = fixture_.answers()[taken_];
+      auto& it = callers_[std::stoul(got.answer.id)];
+      it.waits = false;
+      it.next = fixture_.Now() + Milliseconds(5 + fixture_.random()() % 30);
+      not_ok_ += got.answer.status == Status::kOk ? 0 : 1;
+      const auto ms =
+          std::chrono::duration_cast<Milliseconds>(got.answered - got.asked);
+      slowest_ms_ = std::max<std::int64_t>(slowest_ms_, ms.count());
+      if (got.answer.leaving) {
+        Reconnect(it);
+      }
+    }
+  }
+
+  void Reconnect(Caller& it) {
+    do {
+      it.node = fixture_.random()() % fixture_.nodes();
+    } while (closed_[it.node]);
+  }
+
+  NodeFixture& fixture_;
+  std::vector<Caller> callers_;
+  std::vector<bool> closed_;
+  std::size_t taken_ = 0;
+  int sent_ = 0;
+  int not_ok_ = 0;
+  std::int64_t slowest_ms_ = 0;
+};
+
+/// Replaces every instance, one after the other, under load.
+auto ReplaceAll(std::uint64_t seed) -> LoadResult {
+  NodeFixture fixture({.seed = seed, .nodes = 5, .databases = 3});
+  fixture.Settle();
+  CallerLoad load(fixture, 8);
+  load.RunFor(Milliseconds(200));
+  for (std::size_t node = 0; node < fixture.nodes(); ++node) {
+    load.SetClosed(node, true);
+    fixture.StopNode(node);
+    while (!fixture.Stopped(node)) {
+      load.RunFor(Milliseconds(20));
+    }
+    fixture.StartNode(node);
+    load.SetClosed(node, false);
+    load.RunFor(Milliseconds(300));
+  }
+  return load.Result();
+}
+
+TEST_CASE("All five instances are replaced under load and no request fails") {
+  std::int64_t slowest_ms = 0;
+  auto sent = 0;
+  rc::check("rolling replacement", [&] {
+    const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
+    const auto result = ReplaceAll(seed);
+    RC_ASSERT(result.not_ok == 0);
+    RC_ASSERT(result.unanswered == 0);
+    RC_ASSERT(result.slowest_ms <= 1000);
+    slowest_ms = std::max(slowest_ms, result.slowest_ms);
+    sent += result.sent;
+  });
+  MESSAGE("writes: ", sent, ", slowest in ms: ", slowest_ms);
+}
+
+TEST_CASE("The successor takes over at once") {
+  std::int64_t slowest_ms = 0;
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    NodeFixture fixture({.seed = seed, .nodes = 5});
+    fixture.Settle();
+    const auto owner = fixture.OwnerOf("db0");
+    const auto began = fixture.Now();
+    fixture.StopNode(owner);
+    REQUIRE(fixture.RunUntil(
+        [&] {
+          const auto now = fixture.OwnerOf("db0");
+          return now < fixture.nodes() && now != owner;
+        },
+        Milliseconds(5000)));
+    const auto took =
+        std::chrono::duration_cast<Milliseconds>(fixture.Now() - began);
+    CHECK(took < Milliseconds(200));
+    slowest_ms = std::max<std::int64_t>(slowest_ms, took.count());
+  }
+  MESSAGE("slowest in ms: ", slowest_ms);
+}
+
+TEST_CASE("A caller that stays is told to leave, then refused, never dropped") {
+  NodeFixture fixture({.seed = 3, .nodes = 3});
+  fixture.Settle();
+  fixture.StopNode(0);
+  auto served = 0;
+  auto refused = 0;
+  auto asked = 0;
+  // One caller that never heeds what the answers say.
+  while (!fixture.Stopped(0)) {
+    const auto id = "stay" + std::to_string(++asked);
+    const auto answer = fixture.Ask(0, fixture.Append(id, "row", "x"));
+    REQUIRE(answer.leaving);
+    if (answer.status == Status::kOk) {
+      REQUIRE(refused == 0);
+      ++served;
+    } else {
+      REQUIRE(answer.status == Status::kNotRun);
+      REQUIRE(answer.error == ErrorKind::kLeaving);
+      ++refused;
+    }
+    fixture.RunFor(Milliseconds(100));
+  }
+  CHECK(served > 0);
+  CHECK(refused > 0);
+  const auto& row = fixture.Primary("db0").rows.at("row");
+  CHECK(std::count(row.begin(), row.end(), 'x') == served);
+}
+
+TEST_CASE("A stop ends in time although the primary is away") {
+  NodeFixture fixture({.seed = 4, .nodes = 3});
+  fixture.Settle();
+  fixture.KillMember("db0-1");
+  fixture.KillMember("db0-2");
+  fixture.Send(0, fixture.Append("w1", "row", "x"));
+  fixture.RunFor(Milliseconds(500));
+  fixture.StopNode(0);
+  CHECK(fixture.RunUntil([&] { return fixture.Stopped(0); },
+                         Milliseconds(11'000)));
+  REQUIRE(fixture.answers().size() == 1);
+}
+
+}  // namespace
+}  // namespace kingcuplock
--- a/kingcuplock/owner/database_owner.h
+++ b/kingcuplock/owner/database_owner.h
@@ -65,6 +65,12 @@
   /// are in doubt.
   void Stop();
 
+  /// Sets the members on endpoints that are leaving: they get no new reads,
+  /// and a primary among them is replaced.
+  void SetLeaving(std::vector<std::string> members) {
+    leader_.SetLeaving(std::move(members));
+  }
+
   /// Admits nothing more and calls `done` when no request is left.
   void Drain(std::function<void()> done);
 
--- a/kingcuplock/owner/group_leader.cc
+++ b/kingcuplock/owner/group_leader.cc
@@ -12,6 +12,8 @@
 constexpr Milliseconds kFencePause{50};
 /// Shortest time in ms between two orders to follow, per member.
 constexpr Milliseconds kFollowInterval{100};
+/// Shortest time in ms between two planned changes of primary.
+constexpr Milliseconds kPlannedChangeInterval{1000};
 
 auto MemberNames(const DatabaseConfig& config) -> std::vector<std::string> {
   std::vector<std::string> names;
@@ -70,7 +72,8 @@
   term_ = record_.term;
   if (record_.term == 0) {
     Discover();
-  } else if (record_.phase == Phase::kPromoting) {
+  } else if (record_.phase == Phase::kPromoting ||
+             !members_.contains(record_.primary)) {
     BeginPromotion();
   } else {
     SetPrimary(record_.term, record_.primary);
@@ -162,6 +165,7 @@
   }
   TryOpen();
   ports_.sampled();
+  LeaveLeavingPrimary();
 }
 
 void GroupLeader::NotePrimaryPlace(Time asked, LogPlace place) {
@@ -210,6 +214,37 @@
   BeginPromotion();
 }
 
+// ------------------------------------------------------ leaving endpoints
+
+void GroupLeader::SetLeaving(std::vector<std::string> members) {
+  leaving_ = std::move(members);
+  LeaveLeavingPrimary();
+}
+
+auto GroupLeader::IsLeaving(std::string_view member) const -> bool {
+  return std::find(leaving_.begin(), leaving_.end(), member) != leaving_.end();
+}
+
+void GroupLeader::LeaveLeavingPrimary() {
+  if (!IsServing() || !IsLeaving(primary_) || !ports_.lease_is_valid()) {
+    return;
+  }
+  const auto now = timers_.Now();
+  const auto lately = last_planned_change_ &&
+                      now - *last_planned_change_ < kPlannedChangeInterval;
+  const auto successor_is_ready =
+      std::any_of(members_.begin(), members_.end(), [&](const auto& it) {
+        return !IsLeaving(it.first) && it.second.follows == term_ &&
+               it.second.place >= *acknowledged_;
+      });
+  if (!lately && successor_is_ready) {
+    last_planned_change_ = now;
+    outbox_.Log(Event::kEndpointLeaving,
+                {{"database", config_.name}, {"member", primary_}});
+    BeginPromotion();
+  }
+}
+
 // A member that follows a later term shows that this leader's term has ended.
 // The write of the record decides whether that was another owner's doing.
 void GroupLeader::OvertakeTerm(std::int64_t term) {
@@ -362,9 +397,9 @@
   fence_.reset();
   ports_.closed(std::exchange(primary_, {}));
   retired_promotion_ = std::move(promotion_);
-  promotion_ =
-      std::make_unique<Promotion>(PromotionStart{config_, term_, acknowledged_},
-                                  timers_, outbox_, MakePromotionPorts());
+  promotion_ = std::make_unique<Promotion>(
+      PromotionStart{config_, term_, acknowledged_, leaving_}, timers_, outbox_,
+      MakePromotionPorts());
   promotion_->Begin();
 }
 
--- a/kingcuplock/owner/group_leader.h
+++ b/kingcuplock/owner/group_leader.h
@@ -14,6 +14,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "kingcuplock/actions/outbox.h"
 #include "kingcuplock/base/life_guard.h"
@@ -84,6 +86,13 @@
   /// Decides nothing more.
   void Stop();
 
+  /// Sets the members on endpoints that are leaving. A primary among them is
+  /// replaced as soon as another member holds everything acknowledged.
+  void SetLeaving(std::vector<std::string> members);
+
+  /// Returns whether a member is on an endpoint that is leaving.
+  auto IsLeaving(std::string_view member) const -> bool;
+
   /// Gives the primary up and promotes another member.
   void BeginPromotion();
 
@@ -154,6 +163,7 @@
                 Time asked,
                 const MemberAnswer& answer);
   void OnSuspected(const std::string& name);
+  void LeaveLeavingPrimary();
   void Demote(const std::string& name, Member& member);
   void Discover();
   void OnDiscovered(const std::map<std::string, MemberAnswer>& heard);
@@ -181,6 +191,8 @@
   std::map<std::string, Member> members_;
   std::optional<Acknowledgement<>> acks_;
   std::optional<LogPlace> acknowledged_;
+  std::vector<std::string> leaving_;
+  std::optional<Time> last_planned_change_;
   std::optional<LogPlace> fence_;
   Time fence_raised_at_{};
   AgeTracker ages_;
--- a/kingcuplock/owner/replica_reader.cc
+++ b/kingcuplock/owner/replica_reader.cc
@@ -46,7 +46,8 @@
 
 auto ReplicaReader::ChanceAt(const std::string& member,
                              const OwnerRequest& request) const -> Chance {
-  if (member == leader_.primary() || !leader_.Responds(member)) {
+  if (member == leader_.primary() || leader_.IsLeaving(member) ||
+      !leader_.Responds(member)) {
     return Chance::kNone;
   }
   const auto need = NeedOf(request);
--- a/kingcuplock/ownership/ownership_keeper.cc
+++ b/kingcuplock/ownership/ownership_keeper.cc
@@ -112,6 +112,7 @@
   }
   const auto delay = TakeoverDelay(database, entry);
   if (timers_.Now() - *entry.vacant_since >= delay) {
+    entry.handed_over = false;
     VerifyVacancy(database);
   }
 }
@@ -140,6 +141,9 @@
 
 auto OwnershipKeeper::TakeoverDelay(const std::string& database,
                                     const Entry& entry) const -> Duration {
+  if (entry.handed_over) {
+    return Duration::zero();
+  }
   if (entry.record && entry.record->phase != Phase::kReleased &&
       entry.record->owner == names_.instance) {
     return Duration::zero();
@@ -211,6 +215,25 @@
   ChangeOwned(database, change, std::move(callback));
 }
 
+void OwnershipKeeper::RaiseEpoch(const std::string& database,
+                                 WriteCallback callback) {
+  const auto change = [](OwnerRecord& record) { record.epoch += 1; };
+  ChangeOwned(database, change, std::move(callback));
+}
+
+auto OwnershipKeeper::IsWriting(std::string_view database) const -> bool {
+  const auto it = entries_.find(database);
+  return it != entries_.end() && it->second.writing;
+}
+
+void OwnershipKeeper::AcceptHandOver(const std::string& database) {
+  const auto it = entries_.find(database);
+  if (it != entries_.end() && !it->second.owned) {
+    it->second.handed_over = true;
+    EvaluateEntry(database, it->second);
+  }
+}
+
 void OwnershipKeeper::Release(const std::string& database,
                               WriteCallback callback) {
   const auto change = [](OwnerRecord& record) {
--- a/kingcuplock/ownership/ownership_keeper.h
+++ b/kingcuplock/ownership/ownership_keeper.h
@@ -73,6 +73,17 @@
              const std::vector<TermStart>& term_starts,
              WriteCallback callback);
 
+  /// Raises the epoch of an owned database that stays here, so that a new
+  /// owner object fences the one before.
+  void RaiseEpoch(const std::string& database, WriteCallback callback);
+
+  /// Returns whether a write of the record is under way.
+  auto IsWriting(std::string_view database) const -> bool;
+
+  /// Takes a database that a peer's planned stop hands over here, as soon as
+  /// its record is released, ahead of the order of preference.
+  void AcceptHandOver(const std::string& database);
+
   /// Gives an owned database up so that a successor takes it at once.
   void Release(const std::string& database, WriteCallback callback);
 
@@ -114,6 +125,7 @@
     bool owned = false;
     bool writing = false;
     bool verifying = false;
+    bool handed_over = false;
     std::int64_t version = 0;
     /// Lowest epoch under which this instance may own the database.
     std::int64_t least_epoch = 0;
--- a/kingcuplock/runtime/decision_duty.cc
+++ b/kingcuplock/runtime/decision_duty.cc
@@ -8,6 +8,8 @@
 
 /// Longest sleep when no timer is due.
 constexpr Milliseconds kMaxSleep{100};
+/// Time in ms for which a stopped instance answers what its rings still hold.
+constexpr Milliseconds kFinish{50};
 /// Events taken from one ring before the actions are handed out.
 constexpr int kBatch = 64;
 
@@ -43,6 +45,20 @@
       Sleep();
     }
   }
+  Finish();
+}
+
+void DecisionDuty::Finish() {
+  sockets_.RefuseCallers();
+  const auto until = ClockNow() + kFinish;
+  while (ClockNow() < until) {
+    timers_.AdvanceTo(ClockNow());
+    const auto busy = FlushOverflow() && TakeEvents();
+    HandOut();
+    if (!busy) {
+      waker_.SleepFor(Milliseconds(1));
+    }
+  }
 }
 
 auto DecisionDuty::TakeEvents() -> bool {
--- a/kingcuplock/runtime/decision_duty.h
+++ b/kingcuplock/runtime/decision_duty.h
@@ -37,6 +37,7 @@
   void Run();
 
  private:
+  void Finish();
   auto TakeEvents() -> bool;
   void HandOut();
   void Perform(Action& action);
--- a/kingcuplock/runtime/socket_duty.cc
+++ b/kingcuplock/runtime/socket_duty.cc
@@ -12,6 +12,8 @@
 constexpr std::size_t kRingSize = 8192;
 /// Pause in ms before events that found the ring full are tried again.
 constexpr int kOverflowPauseMs = 1;
+/// Time in ms for closing handshakes and what is left to send.
+constexpr int kClosingMs = 100;
 /// Time in ms after which a caller refused at a full ring may come back.
 constexpr std::int64_t kRingRetryMs = 200;
 
@@ -67,10 +69,15 @@
 }
 
 void SocketDuty::Stop() {
-  if (thread_.joinable()) {
-    hub_.Stop();
-    thread_.join();
+  if (!thread_.joinable()) {
+    return;
   }
+  hub_.Post([this] {
+    RunCommands();
+    hub_.SendGoingAway();
+    hub_.RunAfter(kClosingMs, [this] { hub_.Stop(); });
+  });
+  thread_.join();
 }
 
 auto SocketDuty::TryGive(SocketCommand& command) -> bool {
@@ -144,11 +151,8 @@
   try {
     auto message = ReadInboundMessage(DecodeFrame(payload, Format(is_text)));
     const auto* request = std::get_if<CallerRequest>(&message);
-    if (request != nullptr && !overflow_.empty()) {
-      ++refused_;
-      const auto answer =
-          Refusal(request->id, ErrorKind::kOverloaded, kRingRetryMs);
-      hub_.Send(source, Encode(answer, Format(is_text)), is_text);
+    if (request != nullptr && (leaving_ || !overflow_.empty())) {
+      RefuseRequest(source, *request, is_text);
       return;
     }
     MessageArrived event;
@@ -160,6 +164,18 @@
   }
 }
 
+void SocketDuty::RefuseRequest(ConnectionId source,
+                               const CallerRequest& request,
+                               bool is_text) {
+  ++refused_;
+  auto answer = leaving_
+                    ? Refusal(request.id, ErrorKind::kLeaving, 0)
+                    : Refusal(request.id, ErrorKind::kOverloaded, kRingRetryMs);
+  answer.leaving = leaving_;
+  answer.token = request.token;
+  hub_.Send(source, Encode(answer, Format(is_text)), is_text);
+}
+
 void SocketDuty::RejectFrame(ConnectionId source,
                              const std::string& payload,
                              bool is_text,
--- a/kingcuplock/runtime/socket_duty.h
+++ b/kingcuplock/runtime/socket_duty.h
@@ -49,7 +49,12 @@
   /// Closes the listening socket; open connections stay. Thread safe.
   void StopAccepting();
 
-  /// Stops the thread and joins it.
+  /// Answers every request that arrives from now on as kLeaving: it does not
+  /// reach the decision thread. Thread safe.
+  void RefuseCallers() { leaving_ = true; }
+
+  /// Sends what was given, closes callers' and peers' connections with a
+  /// closing handshake, stops the thread and joins it.
   void Stop();
 
   /// Takes the next event. Returns false when there is none.
@@ -70,6 +75,9 @@
   void RetryOverflow();
   void OnFrame(ConnectionId source, const std::string& payload, bool is_text);
   void OnInbound(ConnectionId source, const std::string& payload, bool is_text);
+  void RefuseRequest(ConnectionId source,
+                     const CallerRequest& request,
+                     bool is_text);
   void RejectFrame(ConnectionId source,
                    const std::string& payload,
                    bool is_text,
@@ -81,6 +89,7 @@
   Ring<NodeEvent> events_;
   Ring<SocketCommand> commands_;
   std::atomic<bool> flush_pending_{false};
+  std::atomic<bool> leaving_{false};
   std::atomic<std::uint64_t> refused_{0};
   std::deque<NodeEvent> overflow_;
   std::unordered_map<ConnectionId, ConnectionKind> kinds_;
--- a/kingcuplock/schema/messages.cc
+++ b/kingcuplock/schema/messages.cc
@@ -177,6 +177,7 @@
                           kDefaults.served_by);
   internal::WriteOptional(out, "from_replica", value.from_replica,
                           kDefaults.from_replica);
+  internal::WriteOptional(out, "leaving", value.leaving, kDefaults.leaving);
 }
 
 void from_json(const nlohmann::json& in, CallerAnswer& value) {
@@ -194,6 +195,7 @@
   internal::ReadOptional(in, "position", value.position);
   internal::ReadOptional(in, "served_by", value.served_by);
   internal::ReadOptional(in, "from_replica", value.from_replica);
+  internal::ReadOptional(in, "leaving", value.leaving);
 }
 
 void to_json(nlohmann::json& out, const StatusQuery& value) {
@@ -317,6 +319,8 @@
   out["instance"] = value.instance;
   internal::WriteOptional(out, "manifest_version", value.manifest_version,
                           kDefaults.manifest_version);
+  internal::WriteOptional(out, "manifest_hash", value.manifest_hash,
+                          kDefaults.manifest_hash);
   internal::WriteOptional(out, "leaving", value.leaving, kDefaults.leaving);
   internal::WriteOptional(out, "lease_valid", value.lease_valid,
                           kDefaults.lease_valid);
@@ -334,6 +338,7 @@
   internal::ReadRequired(in, "id", value.id);
   internal::ReadRequired(in, "instance", value.instance);
   internal::ReadOptional(in, "manifest_version", value.manifest_version);
+  internal::ReadOptional(in, "manifest_hash", value.manifest_hash);
   internal::ReadOptional(in, "leaving", value.leaving);
   internal::ReadOptional(in, "lease_valid", value.lease_valid);
   internal::ReadOptional(in, "databases", value.databases);
@@ -396,6 +401,10 @@
   out["instance"] = value.instance;
   internal::WriteOptional(out, "manifest_version", value.manifest_version,
                           kDefaults.manifest_version);
+  internal::WriteOptional(out, "manifest_hash", value.manifest_hash,
+                          kDefaults.manifest_hash);
+  internal::WriteOptional(out, "host", value.host, kDefaults.host);
+  internal::WriteOptional(out, "port", value.port, kDefaults.port);
   internal::WriteOptional(out, "leaving", value.leaving, kDefaults.leaving);
   internal::WriteOptional(out, "owned", value.owned, kDefaults.owned);
 }
@@ -404,6 +413,9 @@
   internal::RequireObject(in, "Heartbeat");
   internal::ReadRequired(in, "instance", value.instance);
   internal::ReadOptional(in, "manifest_version", value.manifest_version);
+  internal::ReadOptional(in, "manifest_hash", value.manifest_hash);
+  internal::ReadOptional(in, "host", value.host);
+  internal::ReadOptional(in, "port", value.port);
   internal::ReadOptional(in, "leaving", value.leaving);
   internal::ReadOptional(in, "owned", value.owned);
 }
--- a/kingcuplock/schema/messages.h
+++ b/kingcuplock/schema/messages.h
@@ -186,6 +186,8 @@
   std::string served_by{};
   /// Whether a replica served it.
   bool from_replica{};
+  /// Whether the instance is about to stop; send the next request to another.
+  bool leaving{};
 
   auto operator==(const CallerAnswer&) const -> bool = default;
 };
@@ -333,6 +335,8 @@
   std::string instance{};
   /// Manifest version in force, 0 for none.
   std::int64_t manifest_version{};
+  /// Hash of the content of that manifest.
+  std::string manifest_hash{};
   /// Whether a planned stop has begun.
   bool leaving{};
   /// Whether the instance holds a valid lease.
@@ -419,6 +423,12 @@
   std::string instance{};
   /// Manifest version in force at the sender.
   std::int64_t manifest_version{};
+  /// Hash of the content of that manifest.
+  std::string manifest_hash{};
+  /// IP number that the sender listens on.
+  std::string host{};
+  /// TCP port that the sender listens on.
+  std::int64_t port{};
   /// Whether a planned stop has begun.
   bool leaving{};
   /// Databases that the sender owns.
--- a/kingcuplock/schema/schema_check.cc
+++ b/kingcuplock/schema/schema_check.cc
@@ -1,5 +1,8 @@
 #include "kingcuplock/schema/schema_check.h"
 
+#include <sstream>
+#include <string>
+
 #include <nlohmann/json.hpp>
 #include <valijson/adapters/nlohmann_json_adapter.hpp>
 #include <valijson/schema.hpp>
@@ -25,8 +28,55 @@
   return pointer;
 }
 
+/// Follows a reference within the schema, if `node` is one.
+auto Resolve(const nlohmann::json& schema, const nlohmann::json& node)
+    -> const nlohmann::json& {
+  if (!node.contains("$ref")) {
+    return node;
+  }
+  const auto reference = node["$ref"].get<std::string>();
+  return schema.at(nlohmann::json::json_pointer(reference.substr(1)));
+}
+
+/// Returns the schema of `part` of a value that `node` describes, or nullptr.
+auto Child(const nlohmann::json& schema,
+           const nlohmann::json& node,
+           const std::string& part) -> const nlohmann::json* {
+  const auto& it = Resolve(schema, node);
+  if (it.contains("items")) {
+    return &it["items"];
+  }
+  const auto known =
+      it.contains("properties") && it["properties"].contains(part);
+  return known ? &it["properties"][part] : nullptr;
+}
+
 }  // namespace
 
+auto DescribeExpected(std::string_view schema_text, std::string_view pointer)
+    -> std::string {
+  const auto schema = nlohmann::json::parse(schema_text);
+  const auto* node = &schema["allOf"][0];
+  std::istringstream parts{std::string(pointer)};
+  std::string part;
+  std::getline(parts, part, '/');
+  while (std::getline(parts, part, '/')) {
+    node = Child(schema, *node, part);
+    if (node == nullptr) {
+      return {};
+    }
+  }
+  const auto& found = Resolve(schema, *node);
+  auto text = node->value("description", found.value("description", ""));
+  for (const auto* it : {"type", "enum", "minimum", "maximum", "minLength",
+                         "minItems", "required"}) {
+    if (found.contains(it)) {
+      text += std::string(" ") + it + "=" + found[it].dump();
+    }
+  }
+  return text;
+}
+
 auto CheckAgainst(std::string_view schema_text, std::string_view text)
     -> std::vector<SchemaFault> {
   const auto document = nlohmann::json::parse(text, nullptr, false);
--- a/kingcuplock/schema/schema_check.h
+++ b/kingcuplock/schema/schema_check.h
@@ -23,4 +23,9 @@
 auto CheckAgainst(std::string_view schema, std::string_view text)
     -> std::vector<SchemaFault>;
 
+/// Returns what the schema expects at a JSON pointer, as text for people: the
+/// limits and the description. Empty if the schema does not know the place.
+auto DescribeExpected(std::string_view schema, std::string_view pointer)
+    -> std::string;
+
 }  // namespace kingcuplock
--- a/kingcuplock/transport/web_socket_hub.cc
+++ b/kingcuplock/transport/web_socket_hub.cc
@@ -161,6 +161,13 @@
     }
   }
 
+  void SendGoingAway() {
+    for (const auto& [id, it] : servers_side_) {
+      websocketpp::lib::error_code ec;
+      it->close(websocketpp::close::status::going_away, "leaving", ec);
+    }
+  }
+
   void SetReading(ConnectionId connection, bool on) {
     Visit(connection, [on](const auto& it) {
       on ? it->resume_reading() : it->pause_reading();
@@ -298,6 +305,10 @@
   impl_->Close(connection);
 }
 
+void WebSocketHub::SendGoingAway() {
+  impl_->SendGoingAway();
+}
+
 void WebSocketHub::SetReading(ConnectionId connection, bool on) {
   impl_->SetReading(connection, on);
 }
--- a/kingcuplock/transport/web_socket_hub.h
+++ b/kingcuplock/transport/web_socket_hub.h
@@ -59,6 +59,10 @@
   /// Closes a connection at once; `closed` follows.
   void Close(ConnectionId connection);
 
+  /// Begins the closing handshake on every accepted connection, with status
+  /// 1001 (going away), after what was sent before.
+  void SendGoingAway();
+
   /// Stops or resumes reading from a connection.
   void SetReading(ConnectionId connection, bool on);
 
--- a/programs/publish/main.cc
+++ b/programs/publish/main.cc
@@ -1,37 +1,50 @@
-/// kingcuplock-publish: checks, shows and publishes the manifest.
+/// kingcuplock-publish: checks, compares, publishes and shows the manifest.
 ///
-/// Exit codes: 0 done, 2 the manifest has faults, 3 another version is in
-/// force, 1 any other error.
+/// Exit codes: 0 done, 1 any other error, 2 the manifest has faults, 3 another
+/// version is in the store, 4 it can't be told whether it was published, 5 an
+/// instance is behind or does not answer.
 ///
 /// Example:
 ///   kingcuplock-publish publish --store 127.0.0.1:7300 --deployment hamsukhan
 ///     --manifest manifest.json --expect-version 0
 
 #include <fstream>
+#include <optional>
 #include <sstream>
 #include <string>
+#include <vector>
 
 #include <fmt/format.h>
 #include <CLI/CLI.hpp>
 
 #include "kingcuplock/manifest/manifest_check.h"
+#include "kingcuplock/schema/codec.h"
 #include "kingcuplock/schema/messages.h"
 #include "programs/client/sync_client.h"
+#include "programs/publish/fleet_status.h"
+#include "programs/publish/manifest_diff.h"
+#include "programs/publish/publisher.h"
 
 namespace kingcuplock {
 namespace {
 
-/// Longest wait in ms for the store.
-constexpr int kStoreTimeoutMs = 5000;
+/// Longest wait in ms for one answer of the store.
+constexpr int kStoreTimeoutMs = 2000;
+/// Longest wait in ms for one instance.
+constexpr int kInstanceTimeoutMs = 1000;
 constexpr int kFaultsExit = 2;
 constexpr int kConflictExit = 3;
+constexpr int kUnknownExit = 4;
+constexpr int kBehindExit = 5;
 
 /// What the command line holds.
 struct Options {
   std::string store = "127.0.0.1:7300";
   std::string deployment;
   std::string manifest;
-  std::int64_t expect_version = -1;
+  std::vector<std::string> instances;
+  std::optional<std::int64_t> expect_version;
+  bool json = false;
 };
 
 auto ReadFile(const std::string& path) -> std::string {
@@ -44,101 +57,221 @@
   return out.str();
 }
 
-auto AskStore(const Options& options, const StoreCall& call) -> StoreAnswer {
+auto AskOnce(const Options& options, const StoreCall& call)
+    -> std::optional<StoreAnswer> {
   const auto [host, port] = ParseHostPort(options.store);
-  SyncClient client(host, port, kStoreTimeoutMs);
-  return client.Ask(call, kStoreTimeoutMs).get<StoreAnswer>();
+  try {
+    SyncClient client(host, port, kStoreTimeoutMs);
+    return client.Ask(call, kStoreTimeoutMs).get<StoreAnswer>();
+  } catch (const ClientError&) {
+    return std::nullopt;
+  }
 }
 
-auto ManifestKey(const Options& options) -> std::string {
-  return "kingcuplock/" + options.deployment + "/manifest";
+auto MakePublisher(const Options& options) -> Publisher {
+  return Publisher(
+      "kingcuplock/" + options.deployment + "/manifest",
+      [options](const StoreCall& call) { return AskOnce(options, call); });
 }
 
-auto ReadCurrent(const Options& options) -> StoreItem {
-  StoreCall call;
-  call.op = StoreOp::kGet;
-  call.key = ManifestKey(options);
-  const auto answer = AskStore(options, call);
-  return answer.items.empty() ? StoreItem{} : answer.items.front();
+void PrintJson(const nlohmann::json& json) {
+  fmt::print("{}\n", json.dump());
 }
 
-auto Check(const Options& options) -> int {
-  const auto faults = CheckManifest(ReadFile(options.manifest));
+auto FaultsToJson(const std::vector<ManifestFault>& faults) -> nlohmann::json {
+  auto list = nlohmann::json::array();
   for (const auto& it : faults) {
-    fmt::print("{}: {}\n", it.pointer, it.remedy);
+    list.push_back({{"pointer", it.pointer}, {"remedy", it.remedy}});
+  }
+  return list;
+}
+
+auto PrintFaults(const Options& options,
+                 const std::vector<ManifestFault>& faults) -> int {
+  if (options.json) {
+    PrintJson({{"outcome", faults.empty() ? "fits" : "faults"},
+               {"faults", FaultsToJson(faults)}});
+  } else {
+    for (const auto& it : faults) {
+      fmt::print("{}: {}\n", it.pointer.empty() ? "/" : it.pointer, it.remedy);
+    }
   }
   return faults.empty() ? 0 : kFaultsExit;
 }
 
-auto Conflict(std::int64_t found, std::int64_t expected) -> int {
-  fmt::print(stderr,
-             "version {} is in force, not {}; rebuild the manifest on top of "
-             "it and publish again\n",
-             found, expected);
-  return kConflictExit;
+auto Check(const Options& options) -> int {
+  return PrintFaults(options, CheckManifest(ReadFile(options.manifest)));
+}
+
+auto Diff(const Options& options) -> int {
+  const auto next = ParseManifest(ReadFile(options.manifest));
+  const auto item = MakePublisher(options).Read();
+  const auto in_force =
+      item.value.empty() ? Manifest{} : ParseManifest(item.value);
+  const auto changes = DiffManifests(in_force, next);
+  const auto faults = CheckChange(in_force, next);
+  if (options.json) {
+    PrintJson({{"from_version", in_force.version},
+               {"to_version", next.version},
+               {"changes", ToJson(changes)},
+               {"faults", FaultsToJson(faults)}});
+    return faults.empty() ? 0 : kFaultsExit;
+  }
+  fmt::print("version {} to {}\n", in_force.version, next.version);
+  for (const auto& it : changes) {
+    fmt::print("{}: {} -> {}: {}\n", it.place, it.before.dump(),
+               it.after.dump(), it.effect);
+  }
+  return PrintFaults(options, faults);
+}
+
+auto ExitCode(PublishOutcome outcome) -> int {
+  switch (outcome) {
+    case PublishOutcome::kPublished:
+    case PublishOutcome::kUnchanged:
+      return 0;
+    case PublishOutcome::kConflict:
+      return kConflictExit;
+    case PublishOutcome::kUnknown:
+      return kUnknownExit;
+  }
+  return 1;
+}
+
+auto Remedy(const PublishResult& result) -> std::string {
+  if (result.outcome == PublishOutcome::kConflict) {
+    return "rebuild the manifest on top of the version found and publish again";
+  }
+  if (result.outcome == PublishOutcome::kUnknown) {
+    return "run \"show\" when the store answers; publishing the same file "
+           "again is safe";
+  }
+  return "";
 }
 
 auto Publish(const Options& options) -> int {
   const auto text = ReadFile(options.manifest);
   const auto manifest = ParseManifest(text);
-  const auto current = ReadCurrent(options);
-  const auto in_force =
-      current.value.empty() ? 0 : ParseManifest(current.value).version;
-  if (options.expect_version >= 0 && in_force != options.expect_version) {
-    return Conflict(in_force, options.expect_version);
-  }
-  if (manifest.version <= in_force) {
-    return Conflict(in_force, manifest.version - 1);
-  }
-  StoreCall call;
-  call.op = StoreOp::kCompareAndSwap;
-  call.key = ManifestKey(options);
-  call.value = text;
-  call.expected_version = current.version;
-  if (AskStore(options, call).status != StoreStatus::kDone) {
-    return Conflict(ParseManifest(ReadCurrent(options).value).version,
-                    in_force);
-  }
-  fmt::print("{{\"published\":{}}}\n", manifest.version);
-  return 0;
+  if (manifest.deployment != options.deployment) {
+    throw ManifestError({{"/deployment", "is not " + options.deployment +
+                                             "; give the right file"}});
+  }
+  const auto result =
+      MakePublisher(options).Publish(text, options.expect_version);
+  PrintJson({{"outcome", ToString(result.outcome)},
+             {"version", manifest.version},
+             {"found_version", result.found_version},
+             {"read_back", result.read_back},
+             {"remedy", Remedy(result)}});
+  return ExitCode(result.outcome);
 }
 
 auto Show(const Options& options) -> int {
-  fmt::print("{}\n", ReadCurrent(options).value);
+  fmt::print("{}\n", MakePublisher(options).Read().value);
   return 0;
 }
 
-}  // namespace
-}  // namespace kingcuplock
+auto ReadInstances(const Options& options) -> std::vector<InstanceEntry> {
+  std::vector<InstanceEntry> out;
+  for (const auto& it : options.instances) {
+    const auto [host, port] = ParseHostPort(it);
+    out.push_back({it, host, port, "", false});
+  }
+  if (!out.empty()) {
+    return out;
+  }
+  const auto item = Publisher("platform/instances", [&](const StoreCall& call) {
+                      return AskOnce(options, call);
+                    }).Read();
+  if (item.value.empty()) {
+    throw ClientError(
+        "the platform lists no instances; name them with --instance");
+  }
+  return DecodeFrame(item.value, FrameFormat::kJson)
+      .get<InstanceList>()
+      .instances;
+}
 
-auto main(int argc, char** argv) -> int {
-  CLI::App app{"Operators' tool for the manifest"};
-  app.set_version_flag("--version", "kingcuplock-publish 0.1.0");
-  app.require_subcommand(1);
-  kingcuplock::Options options;
-  auto* check = app.add_subcommand("check", "Check a manifest");
+auto AskStatus(const InstanceEntry& it) -> std::optional<InstanceStatus> {
+  try {
+    SyncClient client(it.host, static_cast<std::uint16_t>(it.port),
+                      kInstanceTimeoutMs);
+    return client.Ask(StatusQuery{"status"}, kInstanceTimeoutMs)
+        .get<InstanceStatus>();
+  } catch (const ClientError&) {
+    return std::nullopt;
+  }
+}
+
+auto ShowStatus(const Options& options) -> int {
+  const auto status = ReadFleet(MakePublisher(options).Read().value,
+                                ReadInstances(options), AskStatus);
+  if (options.json) {
+    PrintJson(ToJson(status));
+  } else {
+    fmt::print("published {} {}\n", status.published_version,
+               status.published_hash);
+    for (const auto& it : status.instances) {
+      fmt::print("{} {}:{} version {} {}{}\n", it.instance.name,
+                 it.instance.host, it.instance.port, it.version,
+                 ToString(it.standing), it.leaving ? " leaving" : "");
+    }
+  }
+  return status.IsCurrent() ? 0 : kBehindExit;
+}
+
+auto Run(const CLI::App& app, const Options& options) -> int {
+  if (app.got_subcommand("check")) {
+    return Check(options);
+  }
+  if (app.got_subcommand("diff")) {
+    return Diff(options);
+  }
+  if (app.got_subcommand("publish")) {
+    return Publish(options);
+  }
+  return app.got_subcommand("status") ? ShowStatus(options) : Show(options);
+}
+
+void AddOptions(CLI::App& app, Options& options) {
+  auto* check = app.add_subcommand("check", "Tell every fault of a manifest");
+  auto* diff = app.add_subcommand("diff", "Tell what a manifest would change");
   auto* publish = app.add_subcommand("publish", "Publish a manifest");
   auto* show = app.add_subcommand("show", "Show the manifest in the store");
-  for (auto* it : {check, publish}) {
+  auto* status =
+      app.add_subcommand("status", "Show the version on every instance");
+  for (auto* it : {check, diff, publish}) {
     it->add_option("--manifest", options.manifest, "Manifest file")->required();
   }
-  for (auto* it : {publish, show}) {
+  for (auto* it : {diff, publish, show, status}) {
     it->add_option("--store", options.store, "Store, HOST:PORT");
     it->add_option("--deployment", options.deployment, "Deployment")
         ->required();
   }
+  for (auto* it : {check, diff, publish, show, status}) {
+    it->add_flag("--json", options.json, "Print JSON");
+  }
   publish->add_option("--expect-version", options.expect_version,
-                      "Version that must be in force");
+                      "Version that must be in the store, 0 for none");
+  status->add_option("--instance", options.instances,
+                     "HOST:PORT to ask instead of the platform's list, "
+                     "repeatable");
+}
+
+}  // namespace
+}  // namespace kingcuplock
+
+auto main(int argc, char** argv) -> int {
+  CLI::App app{"Operators' tool for the manifest"};
+  app.set_version_flag("--version", "kingcuplock-publish 0.1.0");
+  app.require_subcommand(1);
+  kingcuplock::Options options;
+  kingcuplock::AddOptions(app, options);
   CLI11_PARSE(app, argc, argv);
   try {
-    if (check->parsed()) {
-      return kingcuplock::Check(options);
-    }
-    return publish->parsed() ? kingcuplock::Publish(options)
-                             : kingcuplock::Show(options);
+    return kingcuplock::Run(app, options);
   } catch (const kingcuplock::ManifestError& ex) {
-    fmt::print(stderr, "kingcuplock-publish: {}\n", ex.what());
-    return kingcuplock::kFaultsExit;
+    return kingcuplock::PrintFaults(options, ex.faults());
   } catch (const std::exception& ex) {
     fmt::print(stderr, "kingcuplock-publish: {}\n", ex.what());
     return 1;
--- /dev/null
+++ b/programs/publish/publish_test.cc
@@ -0,0 +1,249 @@
+#include <algorithm>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "kingcuplock/manifest/manifest_keeper.h"
+#include "kingcuplock/schema/codec.h"
+#include "programs/publish/fleet_status.h"
+#include "programs/publish/manifest_diff.h"
+#include "programs/publish/publisher.h"
+#include "standin/store/key_value_store.h"
+
+namespace kingcuplock {
+namespace {
+
+constexpr const char* kKey = "kingcuplock/test/manifest";
+
+auto MakeManifest(std::int64_t version) -> Manifest {
+  KindConfig kind;
+  kind.name = "book";
+  kind.access = Access::kWrite;
+  DatabaseConfig database;
+  database.name = "bookings";
+  database.slots = 2;
+  database.connections = 16;
+  database.kinds = {kind};
+  for (auto n = 1; n <= 3; ++n) {
+    database.members.push_back(
+        {"b" + std::to_string(n), "127.0.0.1", 7500 + n, "dc-1"});
+  }
+  Manifest manifest;
+  manifest.version = version;
+  manifest.deployment = "test";
+  manifest.databases = {database};
+  return manifest;
+}
+
+auto Text(const Manifest& manifest) -> std::string {
+  return EncodeJson(manifest, FrameFormat::kJson);
+}
+
+/// Asks a store whose answers, or calls, are lost in the given order.
+class LossyStore {
+ public:
+  enum class Loss { kNone, kAnswer, kCall };
+
+  auto Ask() -> AskStore {
+    return [this](const StoreCall& call) -> std::optional<StoreAnswer> {
+      const auto loss = next_ < losses.size() ? losses[next_++] : Loss::kNone;
+      if (loss == Loss::kCall) {
+        return std::nullopt;
+      }
+      auto answer = store.Handle(call, 0);
+      if (after) {
+        after(call);
+      }
+      return loss == Loss::kAnswer ? std::nullopt : std::optional(answer);
+    };
+  }
+
+  KeyValueStore store;
+  std::vector<Loss> losses;
+  /// Called after each call took effect.
+  std::function<void(const StoreCall&)> after;
+
+ private:
+  std::size_t next_ = 0;
+};
+
+TEST_CASE("Check tells every fault at once, with pointer and remedy") {
+  auto json = nlohmann::json(MakeManifest(1));
+  json["databases"][0]["slots"] = 0;
+  json["databases"].push_back(json["databases"][0]);
+  json["databases"][1]["slots"] = 20;
+  json["databases"][1]["kinds"][0]["max_age_ms"] = 5;
+  json["surplus"] = 1;
+  const auto faults = CheckManifest(json.dump());
+  const auto has = [&](const std::string& pointer, const std::string& word) {
+    return std::any_of(faults.begin(), faults.end(), [&](const auto& it) {
+      return it.pointer == pointer && it.remedy.find(word) != std::string::npos;
+    });
+  };
+  CHECK(has("/databases/0/slots", "minimum=1"));
+  CHECK(has("/databases/1/connections", "slots"));
+  CHECK(has("/databases/1/kinds/0/max_age_ms", "remove"));
+  CHECK(has("", "surplus"));
+  CHECK(CheckManifest(Text(MakeManifest(1))).empty());
+  CHECK(CheckManifest("{").size() == 1);
+}
+
+TEST_CASE("Diff names what changes and its effect") {
+  auto before = MakeManifest(1);
+  auto after = MakeManifest(2);
+  after.databases[0].slots = 5;
+  after.databases[0].kinds[0].priority = 1;
+  after.databases[0].members.pop_back();
+  std::reverse(after.databases[0].members.begin(),
+               after.databases[0].members.end());
+  const auto changes = DiffManifests(before, after);
+  REQUIRE(changes.size() == 3);
+  CHECK(changes[0].place == "databases/bookings/kinds/book/priority");
+  CHECK(changes[1].place == "databases/bookings/members/b3");
+  CHECK(changes[1].after.is_null());
+  CHECK(changes[2].place == "databases/bookings/slots");
+  CHECK(changes[2].after == 5);
+  CHECK(ToJson(changes).size() == 3);
+}
+
+TEST_CASE("Taking two members away at once is refused") {
+  LossyStore store;
+  Publisher publisher(kKey, store.Ask());
+  CHECK(publisher.Publish(Text(MakeManifest(1)), 0).outcome ==
+        PublishOutcome::kPublished);
+  auto next = MakeManifest(2);
+  next.databases[0].members[0].port = 1;
+  next.databases[0].members[1].port = 2;
+  CHECK_THROWS_AS(publisher.Publish(Text(next), 1), ManifestError);
+}
+
+TEST_CASE("Of racing publishers one wins and the others get a conflict") {
+  rc::check("one winner", [] {
+    std::mt19937_64 random(*rc::gen::inRange<std::uint64_t>(1, 1'000'000));
+    LossyStore store;
+    Publisher(kKey, store.Ask()).Publish(Text(MakeManifest(1)), 0);
+    // The second publishes just before one of the first one's calls is lost
+    // or takes effect.
+    auto mine = MakeManifest(2);
+    auto theirs = MakeManifest(2);
+    theirs.databases[0].slots = 3;
+    auto race_at = random() % 3;
+    auto their_result = PublishOutcome::kUnknown;
+    LossyStore direct;
+    const AskStore ask =
+        [&](const StoreCall& call) -> std::optional<StoreAnswer> {
+      if (race_at-- == 0) {
+        their_result =
+            Publisher(kKey,
+                      [&](const StoreCall& it) {
+                        return std::optional(store.store.Handle(it, 0));
+                      })
+                .Publish(Text(theirs), 1)
+                .outcome;
+      }
+      const auto lost = random() % 3;
+      if (lost == 0) {
+        return std::nullopt;
+      }
+      const auto answer = store.store.Handle(call, 0);
+      return lost == 1 ? std::nullopt : std::optional(answer);
+    };
+    PublishResult my_result;
+    try {
+      my_result = Publisher(kKey, ask).Publish(Text(mine), 1);
+    } catch (const StoreSilent&) {
+      my_result.outcome = PublishOutcome::kConflict;
+    }
+    const auto stands = store.store.Range(kKey).at(0).value;
+    if (my_result.outcome == PublishOutcome::kPublished) {
+      RC_ASSERT(stands == Text(mine));
+      RC_ASSERT(their_result != PublishOutcome::kPublished);
+    } else if (my_result.outcome == PublishOutcome::kConflict) {
+      RC_ASSERT(stands != Text(mine));
+    }
+    if (their_result == PublishOutcome::kPublished) {
+      RC_ASSERT(stands == Text(theirs));
+    }
+  });
+}
+
+TEST_CASE("A lost answer is read back and told for what it was") {
+  using Loss = LossyStore::Loss;
+  LossyStore store;
+  store.losses = {Loss::kNone, Loss::kAnswer};
+  const auto applied =
+      Publisher(kKey, store.Ask()).Publish(Text(MakeManifest(1)), 0);
+  CHECK(applied.outcome == PublishOutcome::kPublished);
+  CHECK(applied.read_back);
+
+  LossyStore silent;
+  silent.losses = {Loss::kNone, Loss::kCall, Loss::kCall,
+                   Loss::kCall, Loss::kCall, Loss::kCall};
+  CHECK(
+      Publisher(kKey, silent.Ask()).Publish(Text(MakeManifest(1)), 0).outcome ==
+      PublishOutcome::kUnknown);
+
+  LossyStore dead;
+  dead.losses = std::vector<Loss>(5, Loss::kCall);
+  CHECK_THROWS_AS(Publisher(kKey, dead.Ask()).Publish(Text(MakeManifest(1)), 0),
+                  StoreSilent);
+}
+
+TEST_CASE("A version on top of a lost one is not called a conflict") {
+  using Loss = LossyStore::Loss;
+  LossyStore store;
+  store.losses = {Loss::kNone, Loss::kAnswer};
+  store.after = [&](const StoreCall& call) {
+    if (call.op == StoreOp::kCompareAndSwap) {
+      store.after = nullptr;
+      store.store.Put(kKey, Text(MakeManifest(2)));
+    }
+  };
+  const auto result =
+      Publisher(kKey, store.Ask()).Publish(Text(MakeManifest(1)), 0);
+  CHECK(result.outcome == PublishOutcome::kUnknown);
+  CHECK(result.found_version == 2);
+}
+
+TEST_CASE("Publishing the same again changes nothing") {
+  LossyStore store;
+  Publisher publisher(kKey, store.Ask());
+  publisher.Publish(Text(MakeManifest(1)), 0);
+  CHECK(publisher.Publish(Text(MakeManifest(1)), 0).outcome ==
+        PublishOutcome::kUnchanged);
+  CHECK(publisher.Publish(Text(MakeManifest(3)), 2).outcome ==
+        PublishOutcome::kConflict);
+  auto other = MakeManifest(1);
+  other.databases[0].slots = 3;
+  CHECK(publisher.Publish(Text(other), std::nullopt).outcome ==
+        PublishOutcome::kConflict);
+}
+
+TEST_CASE("Status tells who is current, behind, different and silent") {
+  const auto manifest = MakeManifest(2);
+  std::vector<InstanceEntry> entries(4);
+  for (std::size_t n = 0; n < entries.size(); ++n) {
+    entries[n].name = std::to_string(n);
+  }
+  const AskInstance ask =
+      [&](const InstanceEntry& it) -> std::optional<InstanceStatus> {
+    InstanceStatus out;
+    out.manifest_version = it.name == "1" ? 1 : 2;
+    out.manifest_hash = it.name == "2" ? "other" : HashManifest(manifest);
+    return it.name == "3" ? std::nullopt : std::optional(out);
+  };
+  const auto status = ReadFleet(Text(manifest), entries, ask);
+  CHECK_FALSE(status.IsCurrent());
+  CHECK(status.instances[0].standing == InstanceStanding::kCurrent);
+  CHECK(status.instances[1].standing == InstanceStanding::kBehind);
+  CHECK(status.instances[2].standing == InstanceStanding::kOtherContent);
+  CHECK(status.instances[3].standing == InstanceStanding::kSilent);
+  CHECK(ToJson(status)["instances"].size() == 4);
+}
+
+}  // namespace
+}  // namespace kingcuplock
--- a/proofs/fault_schedules/schedule_run.cc
+++ b/proofs/fault_schedules/schedule_run.cc
@@ -241,16 +241,35 @@
     }
   }
 
-  void Heal() {
-    for (auto& [n, undo] : undo_) {
-      undo();
-    }
+  void StartStopped() {
     for (std::size_t n = 0; n < fixture_.nodes(); ++n) {
       if (!fixture_.IsAlive(n)) {
         fixture_.StartNode(n);
       }
     }
+  }
+
+  auto SomeLeaving() -> bool {
+    for (std::size_t n = 0; n < fixture_.nodes(); ++n) {
+      if (fixture_.IsAlive(n) && fixture_.StatusOf(n).leaving) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void Heal() {
+    for (auto& [n, undo] : undo_) {
+      undo();
+    }
+    StartStopped();
     fixture_.RunFor(Milliseconds(kMaxPatienceMs + 100));
+    // A planned stop that began before ends with a start, too.
+    StartStopped();
+    while (SomeLeaving()) {
+      fixture_.RunFor(Milliseconds(100));
+      StartStopped();
+    }
     TakeAnswers();
     auto last = fixture_.Append("last", "row", "last");
     last.patience_ms = kHealTime.count();
--- a/proofs/promotion_model/promotion_model.h
+++ b/proofs/promotion_model/promotion_model.h
@@ -178,8 +178,8 @@
     if (attempt_ == 0) {
       return;
     }
-    const auto choice =
-        hearings_.Choose({ModelGroup::kMembers, attempt_, std::nullopt, false});
+    const auto choice = hearings_.Choose(
+        {ModelGroup::kMembers, attempt_, std::nullopt, false, {}});
     if (choice.verdict != CandidateVerdict::kChosen) {
       return;
     }
--- a/testing/node_fixture.cc
+++ b/testing/node_fixture.cc
@@ -67,14 +67,10 @@
       random_(options.seed),
       manifest_(MakeManifest(options)),
       nodes_(options.nodes) {
-  for (const auto& database : manifest_.databases) {
-    std::vector<std::string> names;
-    for (const auto& it : database.members) {
-      names.push_back(it.name);
-    }
-    groups_.emplace(database.name, DatabaseGroup(names));
-  }
   Publish(manifest_);
+  for (std::size_t n = 0; n < nodes_.size(); ++n) {
+    nodes_[n].port = kInstancePort + static_cast<std::int64_t>(n);
+  }
   for (std::size_t n = 0; n < nodes_.size(); ++n) {
     StartNode(n);
   }
@@ -171,12 +167,10 @@
   ProxySettings settings;
   settings.instance = InstanceName(node);
   settings.deployment = "test";
-  settings.listen = {"127.0.0.1",
-                     kInstancePort + static_cast<std::int64_t>(node)};
+  settings.listen = {"127.0.0.1", it.port};
   settings.store = {"127.0.0.1", 1};
   for (std::size_t n = 0; n < nodes_.size(); ++n) {
-    settings.peers.push_back({InstanceName(n), "127.0.0.1",
-                              kInstancePort + static_cast<std::int64_t>(n)});
+    settings.peers.push_back({InstanceName(n), "127.0.0.1", nodes_[n].port});
   }
   it.links.clear();
   it.held.clear();
@@ -185,7 +179,7 @@
   it.outbox = std::make_unique<Outbox>();
   it.node = std::make_unique<Node>(
       settings, settings.instance + "@" + std::to_string(++it.run), *it.timers,
-      *it.outbox);
+      *it.outbox, options_.manifest_rules);
   it.alive = true;
   it.paused = false;
   it.stopped = false;
@@ -223,6 +217,8 @@
   } else if (std::holds_alternative<StopComplete>(action)) {
     nodes_[node].stopped = true;
     At(Duration::zero(), [this, node] { KillNode(node); });
+  } else if (const auto* log = std::get_if<LogAction>(&action)) {
+    ++logged_[log->event];
   }
 }
 
@@ -231,14 +227,10 @@
   link.kind = open.kind;
   const auto id = open.connection;
   if (open.kind == ConnectionKind::kPeer) {
-    link.peer = static_cast<std::size_t>(open.port - kInstancePort);
+    link.peer = FindNode(open.port);
     link.remote_id = ++last_inbound_ | kInboundBit;
   } else if (open.kind == ConnectionKind::kMember) {
-    for (const auto& database : manifest_.databases) {
-      for (const auto& it : database.members) {
-        link.member = it.port == open.port ? it.name : link.member;
-      }
-    }
+    link.member = member_ports_.at(open.port);
   }
   auto reachable = true;
   auto silent = false;
@@ -470,7 +462,7 @@
           prefixes.begin(), prefixes.end(),
           [&](const auto& it) { return event.item.key.starts_with(it); });
       const auto [node, id] = key;
-      if (!wanted || nodes_[node].cut_store) {
+      if (!wanted || nodes_[node].cut_store || nodes_[node].lose_watch_events) {
         continue;
       }
       At(Delay(), [this, node = node, id = id, event] {
@@ -665,6 +657,41 @@
   Deliver(node, StopRequested{});
 }
 
+void NodeFixture::MoveNode(std::size_t node) {
+  constexpr std::int64_t kPortStep = 1000;
+  KillNode(node);
+  nodes_[node].port += kPortStep;
+  StartNode(node);
+}
+
+auto NodeFixture::FindNode(std::int64_t port) const -> std::size_t {
+  const auto it = std::find_if(nodes_.begin(), nodes_.end(),
+                               [&](const auto& n) { return n.port == port; });
+  return static_cast<std::size_t>(it - nodes_.begin());
+}
+
+void NodeFixture::LoseWatchEvents(std::size_t node, bool lose) {
+  nodes_[node].lose_watch_events = lose;
+}
+
+void NodeFixture::PutInStore(const std::string& key, const std::string& value) {
+  store_.Put(key, value);
+  PushStoreEvents();
+}
+
+void NodeFixture::PublishList(const InstanceList& list) {
+  PutInStore("platform/instances", EncodeJson(list, FrameFormat::kJson));
+}
+
+auto NodeFixture::EntryOf(std::size_t node) const -> InstanceEntry {
+  return {InstanceName(node), "127.0.0.1", nodes_[node].port, "dc-1", false};
+}
+
+auto NodeFixture::Logged(kingcuplock::Event event) const -> int {
+  const auto it = logged_.find(event);
+  return it == logged_.end() ? 0 : it->second;
+}
+
 void NodeFixture::CutPeers(std::size_t a, std::size_t b, bool cut) {
   if (cut) {
     nodes_[a].cut_peers.insert(b);
@@ -681,7 +708,15 @@
 
 void NodeFixture::Publish(const Manifest& manifest) {
   manifest_ = manifest;
-  store_.Put("kingcuplock/test/manifest",
+  for (const auto& database : manifest_.databases) {
+    std::vector<std::string> names;
+    for (const auto& it : database.members) {
+      names.push_back(it.name);
+      member_ports_[it.port] = it.name;
+    }
+    groups_.try_emplace(database.name, names);
+  }
+  PutInStore("kingcuplock/test/manifest",
              EncodeJson(manifest, FrameFormat::kJson));
 }
 
--- a/testing/node_fixture.h
+++ b/testing/node_fixture.h
@@ -52,6 +52,8 @@
   std::int64_t stale_age_ms = 5000;
   /// Acknowledgement of every database.
   AcknowledgementMode acknowledgement = AcknowledgementMode::kReplicated;
+  /// Rules of every instance for a new manifest.
+  ManifestRules manifest_rules = {};
 };
 
 /// An answer that a caller got, and when.
@@ -122,18 +124,34 @@
   void ExpireLeases() { store_.ExpireAll(); }
   /// Cuts one instance from the store.
   void CutStore(std::size_t node, bool cut);
+  /// Loses the events of every watch of an instance; calls are answered.
+  void LoseWatchEvents(std::size_t node, bool lose);
+  /// Puts a value into the store, as the platform or an operator may.
+  void PutInStore(const std::string& key, const std::string& value);
 
   // Faults of instances.
   void KillNode(std::size_t node);
   void StartNode(std::size_t node);
   void PauseNode(std::size_t node, bool paused);
   void StopNode(std::size_t node);
+  /// Kills an instance and starts it under the same name at another address.
+  void MoveNode(std::size_t node);
   void CutPeers(std::size_t a, std::size_t b, bool cut);
 
   /// Returns whether a planned stop of the instance is complete.
   auto Stopped(std::size_t node) const -> bool;
 
-  /// Publishes a manifest, as the operators' tool does.
+  /// Returns how often an event was logged by all instances together.
+  auto Logged(kingcuplock::Event event) const -> int;
+
+  /// Publishes the platform's list of instances and endpoints.
+  void PublishList(const InstanceList& list);
+
+  /// Returns an instance's entry in the platform's list.
+  auto EntryOf(std::size_t node) const -> InstanceEntry;
+
+  /// Publishes a manifest, as the operators' tool does. Groups of databases
+  /// that are new begin empty.
   void Publish(const Manifest& manifest);
 
   auto manifest() const -> const Manifest& { return manifest_; }
@@ -184,6 +202,8 @@
     std::set<std::string> cut_members;
     std::set<std::size_t> cut_peers;
     bool cut_store = false;
+    bool lose_watch_events = false;
+    std::int64_t port = 0;
   };
   struct WaitingAnswer {
     std::size_t node = 0;
@@ -227,6 +247,7 @@
   void PushStoreEvents();
   void DropLinksTo(const std::string& member);
   void CountConnections(const std::string& member);
+  auto FindNode(std::int64_t port) const -> std::size_t;
   auto FindLink(std::size_t node, ConnectionId id) -> Link*;
   auto Reaches(std::size_t node, const std::string& member) -> bool;
 
@@ -243,6 +264,8 @@
   Duration store_delay_{};
   int lose_store_answers_ = 0;
   std::map<std::string, DatabaseGroup> groups_;
+  std::map<std::int64_t, std::string> member_ports_;
+  std::map<kingcuplock::Event, int> logged_;
   std::map<std::string, std::vector<std::function<void()>>> held_by_member_;
   std::map<std::string, std::int64_t> running_;
   std::vector<WaitingAnswer> waiting_;
