--- a/kingcuplock/failover/promotion.h
+++ b/kingcuplock/failover/promotion.h
@@ -37,6 +37,8 @@
   /// Member whose fresh connections failed, empty for none: heard if it
   /// answers, but not waited for.
   std::string suspected;
+  /// Members on endpoints that are leaving.
+  std::vector<std::string> leaving = {};
 };
 
 /// When each step ended.
--- a/kingcuplock/owner/group_leader.cc
+++ b/kingcuplock/owner/group_leader.cc
@@ -14,6 +14,8 @@
 constexpr Milliseconds kRecentlyHeard{300};
 /// Shortest time in ms between two orders to follow, per member.
 constexpr Milliseconds kFollowInterval{100};
+/// Shortest time in ms between two planned changes of primary.
+constexpr Milliseconds kPlannedChangeInterval{1000};
 
 auto MemberNames(const DatabaseConfig& config) -> std::vector<std::string> {
   std::vector<std::string> names;
@@ -72,7 +74,8 @@
   term_ = record_.term;
   if (record_.term == 0) {
     Discover();
-  } else if (record_.phase == Phase::kPromoting) {
+  } else if (record_.phase == Phase::kPromoting ||
+             !members_.contains(record_.primary)) {
     BeginPromotion();
   } else {
     SetPrimary(record_.term, record_.primary);
@@ -165,6 +168,7 @@
   TryOpen();
   ports_.sampled();
   WatchReplication();
+  LeaveLeavingPrimary();
 }
 
 void GroupLeader::NotePrimaryPlace(Time asked, LogPlace place) {
@@ -251,6 +255,37 @@
   ReplacePrimary("", primary_);
 }
 
+// ------------------------------------------------------ leaving endpoints
+
+void GroupLeader::SetLeaving(std::vector<std::string> members) {
+  leaving_ = std::move(members);
+  LeaveLeavingPrimary();
+}
+
+auto GroupLeader::IsLeaving(std::string_view member) const -> bool {
+  return std::find(leaving_.begin(), leaving_.end(), member) != leaving_.end();
+}
+
+void GroupLeader::LeaveLeavingPrimary() {
+  if (!IsServing() || !IsLeaving(primary_) || !ports_.lease_is_valid()) {
+    return;
+  }
+  const auto now = timers_.Now();
+  const auto lately = last_planned_change_ &&
+                      now - *last_planned_change_ < kPlannedChangeInterval;
+  const auto successor_is_ready =
+      std::any_of(members_.begin(), members_.end(), [&](const auto& it) {
+        return !IsLeaving(it.first) && it.second.follows == term_ &&
+               it.second.place >= *acknowledged_;
+      });
+  if (!lately && successor_is_ready) {
+    last_planned_change_ = now;
+    outbox_.Log(Event::kEndpointLeaving,
+                {{"database", config_.name}, {"member", primary_}});
+    BeginPromotion();
+  }
+}
+
 // A member that follows a later term shows that this leader's term has ended.
 // The write of the record decides whether that was another owner's doing.
 void GroupLeader::OvertakeTerm(std::int64_t term) {
@@ -404,7 +439,8 @@
 
 void GroupLeader::ReplacePrimary(const std::string& suspected,
                                  const std::string& excluded) {
-  PromotionStart start{config_, term_, acknowledged_, excluded, suspected};
+  PromotionStart start{config_,  term_,     acknowledged_,
+                       excluded, suspected, leaving_};
   phase_ = OwnerPhase::kPromoting;
   fence_.reset();
   replication_.Reset();
