--- a/kingcuplock/node/node.cc
+++ b/kingcuplock/node/node.cc
@@ -24,12 +24,6 @@
   return link * kLinkFactor + static_cast<std::uint64_t>(caller);
 }
 
-/// Returns whether an owner of one configuration can go on under the other.
-auto SameGroup(const DatabaseConfig& a, DatabaseConfig b) -> bool {
-  b.kinds = a.kinds;
-  return a == b;
-}
-
 auto KeyPrefix(const ProxySettings& settings) -> std::string {
   return "kingcuplock/" + settings.deployment + "/";
 }
--- a/kingcuplock/owner/transactions.cc
+++ b/kingcuplock/owner/transactions.cc
@@ -36,15 +36,13 @@
 
 }  // namespace
 
-Transactions::Transactions(const DatabaseConfig& config,
-                           std::int64_t epoch,
+Transactions::Transactions(std::int64_t epoch,
                            GroupLeader& leader,
                            MemberPools& pools,
                            OpenSends& open_sends,
                            TimerService& timers,
                            TransactionPorts ports)
-    : config_(config),
-      epoch_(epoch),
+    : epoch_(epoch),
       leader_(leader),
       pools_(pools),
       open_sends_(open_sends),
--- a/kingcuplock/owner/transactions.h
+++ b/kingcuplock/owner/transactions.h
@@ -38,8 +38,7 @@
 /// Not thread safe. A step is O(log n) in open transactions.
 class Transactions {
  public:
-  Transactions(const DatabaseConfig& config,
-               std::int64_t epoch,
+  Transactions(std::int64_t epoch,
                GroupLeader& leader,
                MemberPools& pools,
                OpenSends& open_sends,
@@ -107,7 +106,6 @@
   void End(const std::string& handle, bool clean);
   void WatchIdle(const std::string& handle);
 
-  const DatabaseConfig& config_;
   std::int64_t epoch_;
   GroupLeader& leader_;
   MemberPools& pools_;
