--- a/kingcuplock/owner/answers.cc
+++ b/kingcuplock/owner/answers.cc
@@ -1,75 +1,83 @@
 #include "kingcuplock/owner/answers.h"
 
+#include <algorithm>
+#include <array>
+#include <utility>
+
 namespace kingcuplock {
 
+namespace {
+
+/// What went wrong and what the caller can do, per kind of error.
+constexpr std::array<std::pair<ErrorKind, std::string_view>, 25> kRemedies{{
+    {ErrorKind::kBadFrame,
+     "the frame does not fit the schema; correct it as the message "
+     "says"},
+    {ErrorKind::kTooLarge, "the request is too large; split it"},
+    {ErrorKind::kUnknownDatabase,
+     "the manifest has no such database; check the name"},
+    {ErrorKind::kUnknownKind,
+     "the manifest has no such request kind; check the name"},
+    {ErrorKind::kWrongAccess,
+     "a read kind may hold get statements only; use a write kind"},
+    {ErrorKind::kBadToken,
+     "the session token is damaged; use the token of the last answer "
+     "or none"},
+    {ErrorKind::kOverloaded,
+     "the queue is longer than the request can wait; come back after "
+     "retry_after_ms"},
+    {ErrorKind::kNoOwner,
+     "no instance owns the database right now; come back after "
+     "retry_after_ms"},
+    {ErrorKind::kNotOwner,
+     "this instance does not own the database; ask the owner"},
+    {ErrorKind::kPatienceSpent,
+     "the time that the caller gave is over; ask again with the same "
+     "id"},
+    {ErrorKind::kPrimaryUnavailable,
+     "the primary can't be reached; come back after retry_after_ms"},
+    {ErrorKind::kFenced,
+     "another instance owns the database now; ask again with the same "
+     "id"},
+    {ErrorKind::kLeaseLapsed,
+     "the owner can't confirm its lease; ask again with the same id"},
+    {ErrorKind::kRejectedByDatabase,
+     "the database refused the transaction; change the request"},
+    {ErrorKind::kRequestIdTooOld,
+     "the request id is older than the manifest's marker retention; "
+     "check the data, then use a new id"},
+    {ErrorKind::kConnectionLost,
+     "the answer of the database was lost; ask again with the same id"},
+    {ErrorKind::kNotReplicated,
+     "no replica confirmed the write in time; ask again with the same "
+     "id"},
+    {ErrorKind::kTransactionUnknown,
+     "the transaction is not open any more and was not committed; "
+     "begin it again"},
+    {ErrorKind::kNoManifest,
+     "no manifest is in force yet; come back after retry_after_ms"},
+    {ErrorKind::kPositionLost,
+     "the session saw data that a failover lost; begin a new session"},
+    {ErrorKind::kLeaving, "the instance is about to stop; connect again"},
+    {ErrorKind::kUnauthorized, "the key is not accepted; check the key file"},
+    {ErrorKind::kRequestIdReused,
+     "the request id was used before with another content; use a new "
+     "id for a new request"},
+    {ErrorKind::kIssueTimeMissing,
+     "a write that must not repeat needs issued_ms; set it to the Unix "
+     "time in ms of the first sending"},
+    {ErrorKind::kTransactionsFull,
+     "no connection is left for another transaction; come back after "
+     "retry_after_ms"},
+}};
+
+}  // namespace
+
 auto RemedyOf(ErrorKind error) -> std::string_view {
-  switch (error) {
-    case ErrorKind::kNone:
-      return "";
-    case ErrorKind::kBadFrame:
-      return "the frame does not fit the schema; correct it as the message "
-             "says";
-    case ErrorKind::kTooLarge:
-      return "the request is too large; split it";
-    case ErrorKind::kUnknownDatabase:
-      return "the manifest has no such database; check the name";
-    case ErrorKind::kUnknownKind:
-      return "the manifest has no such request kind; check the name";
-    case ErrorKind::kWrongAccess:
-      return "a read kind may hold get statements only; use a write kind";
-    case ErrorKind::kBadToken:
-      return "the session token is damaged; use the token of the last answer "
-             "or none";
-    case ErrorKind::kOverloaded:
-      return "the queue is longer than the request can wait; come back after "
-             "retry_after_ms";
-    case ErrorKind::kNoOwner:
-      return "no instance owns the database right now; come back after "
-             "retry_after_ms";
-    case ErrorKind::kNotOwner:
-      return "this instance does not own the database; ask the owner";
-    case ErrorKind::kPatienceSpent:
-      return "the time that the caller gave is over; ask again with the same "
-             "id";
-    case ErrorKind::kPrimaryUnavailable:
-      return "the primary can't be reached; come back after retry_after_ms";
-    case ErrorKind::kFenced:
-      return "another instance owns the database now; ask again with the same "
-             "id";
-    case ErrorKind::kLeaseLapsed:
-      return "the owner can't confirm its lease; ask again with the same id";
-    case ErrorKind::kRejectedByDatabase:
-      return "the database refused the transaction; change the request";
-    case ErrorKind::kRequestIdTooOld:
-      return "the request id is older than the manifest's marker retention; "
-             "check the data, then use a new id";
-    case ErrorKind::kConnectionLost:
-      return "the answer of the database was lost; ask again with the same id";
-    case ErrorKind::kNotReplicated:
-      return "no replica confirmed the write in time; ask again with the same "
-             "id";
-    case ErrorKind::kTransactionUnknown:
-      return "the transaction is not open any more and was not committed; "
-             "begin it again";
-    case ErrorKind::kNoManifest:
-      return "no manifest is in force yet; come back after retry_after_ms";
-    case ErrorKind::kPositionLost:
-      return "the session saw data that a failover lost; begin a new session";
-    case ErrorKind::kLeaving:
-      return "the instance is about to stop; connect again";
-    case ErrorKind::kUnauthorized:
-      return "the key is not accepted; check the key file";
-    case ErrorKind::kRequestIdReused:
-      return "the request id was used before with another content; use a new "
-             "id for a new request";
-    case ErrorKind::kIssueTimeMissing:
-      return "a write that must not repeat needs issued_ms; set it to the Unix "
-             "time in ms of the first sending";
-    case ErrorKind::kTransactionsFull:
-      return "no connection is left for another transaction; come back after "
-             "retry_after_ms";
-  }
-  return "";
+  const auto it =
+      std::find_if(kRemedies.begin(), kRemedies.end(),
+                   [error](const auto& row) { return row.first == error; });
+  return it == kRemedies.end() ? std::string_view() : it->second;
 }
 
 namespace {
