--- a/testing/node_fixture.cc
+++ b/testing/node_fixture.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "kingcuplock/schema/codec.h"
+#include "testing/node_fixture_names.h"
 
 namespace kingcuplock {
 namespace {
@@ -14,14 +15,6 @@
 constexpr std::int64_t kMemberPort = 7500;
 constexpr Duration kReplicateInterval{1000};
 
-auto InstanceName(std::size_t n) -> std::string {
-  return "proxy-" + std::to_string(n);
-}
-
-auto DatabaseOfMember(const std::string& member) -> std::string {
-  return member.substr(0, member.rfind('-'));
-}
-
 auto MakeKind(const std::string& name, Access access, std::int64_t max_age_ms)
     -> KindConfig {
   KindConfig kind;
@@ -166,12 +159,13 @@
 void NodeFixture::StartNode(std::size_t node) {
   auto& it = nodes_[node];
   ProxySettings settings;
-  settings.instance = InstanceName(node);
+  settings.instance = internal::InstanceName(node);
   settings.deployment = "test";
   settings.listen = {"127.0.0.1", it.port};
   settings.store = {"127.0.0.1", 1};
   for (std::size_t n = 0; n < nodes_.size(); ++n) {
-    settings.peers.push_back({InstanceName(n), "127.0.0.1", nodes_[n].port});
+    settings.peers.push_back(
+        {internal::InstanceName(n), "127.0.0.1", nodes_[n].port});
   }
   it.links.clear();
   it.held.clear();
@@ -238,7 +232,9 @@
   auto reachable = true;
   auto silent = false;
   if (open.kind == ConnectionKind::kMember) {
-    reachable = group(DatabaseOfMember(link.member)).member(link.member).alive;
+    reachable = group(internal::DatabaseOfMember(link.member))
+                    .member(link.member)
+                    .alive;
     silent = !Reaches(node, link.member);
   } else if (open.kind == ConnectionKind::kPeer) {
     reachable = link.peer < nodes_.size() && nodes_[link.peer].alive;
@@ -361,7 +357,7 @@
                               ConnectionId id,
                               const std::string& name,
                               const MemberRequest& request) {
-  auto& target = group(DatabaseOfMember(name));
+  auto& target = group(internal::DatabaseOfMember(name));
   if (!target.member(name).alive) {
     return;
   }
@@ -410,7 +406,7 @@
       continue;
     }
     const auto name = link->member;
-    auto& member = group(DatabaseOfMember(name)).member(name);
+    auto& member = group(internal::DatabaseOfMember(name)).member(name);
     if (!member.alive) {
       continue;
     }
@@ -601,191 +597,4 @@
   return request;
 }
 
-// ----------------------------------------------------------------- faults
-
-void NodeFixture::KillMember(const std::string& name) {
-  group(DatabaseOfMember(name)).member(name).alive = false;
-  held_by_member_[name].clear();
-  DropLinksTo(name);
-}
-
-void NodeFixture::ReviveMember(const std::string& name) {
-  group(DatabaseOfMember(name)).member(name).alive = true;
-}
-
-void NodeFixture::PauseMember(const std::string& name, bool paused) {
-  group(DatabaseOfMember(name)).member(name).paused = paused;
-  if (!paused) {
-    for (const auto& work : std::exchange(held_by_member_[name], {})) {
-      work();
-    }
-  }
-}
-
-void NodeFixture::IsolateMember(const std::string& name, bool isolated) {
-  group(DatabaseOfMember(name)).member(name).isolated = isolated;
-}
-
-void NodeFixture::SetLag(const std::string& name, Duration lag) {
-  group(DatabaseOfMember(name)).member(name).lag_us = lag.count();
-}
-
-void NodeFixture::SilenceMember(const std::string& name) {
-  for (auto& node : nodes_) {
-    for (auto& [id, link] : node.links) {
-      link.silent |= link.member == name;
-    }
-  }
-}
-
-void NodeFixture::CutMember(std::size_t node,
-                            const std::string& name,
-                            bool cut) {
-  if (cut) {
-    nodes_[node].cut_members.insert(name);
-  } else {
-    nodes_[node].cut_members.erase(name);
-  }
-}
-
-void NodeFixture::KillNode(std::size_t node) {
-  auto& it = nodes_[node];
-  it.alive = false;
-  ++it.run;
-  for (const auto& [id, link] : it.links) {
-    EndInbound(link);
-  }
-  it.links.clear();
-  std::erase_if(watches_,
-                [&](const auto& entry) { return entry.first.first == node; });
-  for (std::size_t n = 0; n < nodes_.size(); ++n) {
-    std::vector<ConnectionId> ids;
-    for (const auto& [id, link] : nodes_[n].links) {
-      if (link.kind == ConnectionKind::kPeer && link.peer == node) {
-        ids.push_back(id);
-      }
-    }
-    for (const auto id : ids) {
-      Close(n, id);
-    }
-  }
-}
-
-void NodeFixture::PauseNode(std::size_t node, bool paused) {
-  auto& it = nodes_[node];
-  it.paused = paused;
-  if (!paused) {
-    for (const auto& event : std::exchange(it.held, {})) {
-      Deliver(node, event);
-    }
-  }
-}
-
-void NodeFixture::StopNode(std::size_t node) {
-  Deliver(node, StopRequested{});
-}
-
-void NodeFixture::MoveNode(std::size_t node) {
-  constexpr std::int64_t kPortStep = 1000;
-  KillNode(node);
-  nodes_[node].port += kPortStep;
-  StartNode(node);
-}
-
-auto NodeFixture::FindNode(std::int64_t port) const -> std::size_t {
-  const auto it = std::find_if(nodes_.begin(), nodes_.end(),
-                               [&](const auto& n) { return n.port == port; });
-  return static_cast<std::size_t>(it - nodes_.begin());
-}
-
-void NodeFixture::LoseWatchEvents(std::size_t node, bool lose) {
-  nodes_[node].lose_watch_events = lose;
-}
-
-void NodeFixture::PutInStore(const std::string& key, const std::string& value) {
-  store_.Put(key, value);
-  PushStoreEvents();
-}
-
-void NodeFixture::PublishList(const InstanceList& list) {
-  PutInStore("platform/instances", EncodeJson(list, FrameFormat::kJson));
-}
-
-auto NodeFixture::EntryOf(std::size_t node) const -> InstanceEntry {
-  return {InstanceName(node), "127.0.0.1", nodes_[node].port, "dc-1", false};
-}
-
-auto NodeFixture::Logged(kingcuplock::Event event) const -> int {
-  const auto it = logged_.find(event);
-  return it == logged_.end() ? 0 : it->second;
-}
-
-void NodeFixture::CutPeers(std::size_t a, std::size_t b, bool cut) {
-  if (cut) {
-    nodes_[a].cut_peers.insert(b);
-    nodes_[b].cut_peers.insert(a);
-  } else {
-    nodes_[a].cut_peers.erase(b);
-    nodes_[b].cut_peers.erase(a);
-  }
-}
-
-auto NodeFixture::Stopped(std::size_t node) const -> bool {
-  return nodes_[node].stopped;
-}
-
-void NodeFixture::Publish(const Manifest& manifest) {
-  manifest_ = manifest;
-  for (const auto& database : manifest_.databases) {
-    std::vector<std::string> names;
-    for (const auto& it : database.members) {
-      names.push_back(it.name);
-      member_ports_[it.port] = it.name;
-    }
-    groups_.try_emplace(database.name, names);
-  }
-  PutInStore("kingcuplock/test/manifest",
-             EncodeJson(manifest, FrameFormat::kJson));
-}
-
-// ----------------------------------------------------------------- queries
-
-auto NodeFixture::group(const std::string& database) -> DatabaseGroup& {
-  return groups_.at(database);
-}
-
-auto NodeFixture::Primary(const std::string& database) -> MemberState& {
-  auto& target = group(database);
-  std::string best;
-  std::int64_t term = -1;
-  for (const auto& it : target.members()) {
-    if (it.role == MemberRole::kPrimary && it.term > term) {
-      best = it.name;
-      term = it.term;
-    }
-  }
-  return target.member(best);
-}
-
-auto NodeFixture::OwnerOf(const std::string& database) -> std::size_t {
-  for (std::size_t n = 0; n < nodes_.size(); ++n) {
-    if (!nodes_[n].alive || nodes_[n].paused) {
-      continue;
-    }
-    for (const auto& it : StatusOf(n).databases) {
-      if (it.database == database && it.phase == "serving") {
-        return n;
-      }
-    }
-  }
-  return nodes_.size();
-}
-
-auto NodeFixture::StatusOf(std::size_t node) -> InstanceStatus {
-  const auto id = ++last_inbound_ | kInboundBit;
-  inbound_[{node, id}] = {true, 0, 0};
-  Deliver(node, MessageArrived{id, InboundMessage(StatusQuery{"status"})});
-  return statuses_[node];
-}
-
 }  // namespace kingcuplock
