--- a/kingcuplock/actions/outbox.h
+++ b/kingcuplock/actions/outbox.h
@@ -9,6 +9,7 @@
 ///   outbox.Send(connection, request);
 ///   for (auto& action : outbox.Take()) { Perform(action); }
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -47,6 +48,8 @@
                                      ManifestWanted,
                                      ManifestOffer,
                                      HandOver,
+                                     RoutesWanted,
+                                     RoutesOffer,
                                      MemberRequest,
                                      StoreCall>;
 
@@ -60,6 +63,8 @@
 struct LogAction {
   Event event = Event::kProxyStarted;
   std::vector<std::pair<std::string, std::string>> fields;
+  /// Wall-clock time at which it was queued; set by the log's writer.
+  std::chrono::system_clock::time_point time = {};
 };
 
 /// The planned stop is complete; the process may end.
--- a/kingcuplock/base/log.cc
+++ b/kingcuplock/base/log.cc
@@ -82,6 +82,30 @@
       {kEndpointLeaving, kInfo, "endpoint is leaving, gets no new work"},
       {kInstanceListRejected, kError, "platform's list rejected"},
       {kFrameRejected, kWarning, "frame rejected"},
+      {kStatementServed, kInfo, "statement served"},
+      {kStatementSetBack, kInfo, "attempt ended without effect"},
+      {kStatementRefused, kWarning, "statement refused, has not run"},
+      {kStatementFailed, kWarning, "statement failed"},
+      {kTransactionIdle, kWarning, "idle transaction rolled back"},
+      {kSessionPlaceLost, kWarning, "promotion cut off a session's writes"},
+      {kClientRejected, kWarning, "client rejected"},
+      {kSessionOpened, kInfo, "session opened"},
+      {kSessionClosed, kInfo, "session closed"},
+      {kPrimaryBelieved, kInfo, "belief about the primary changed"},
+      {kEndpointFound, kInfo, "endpoint registered"},
+      {kEndpointGone, kWarning, "endpoint no longer registered"},
+      {kEndpointReach, kInfo, "reach of an endpoint changed"},
+      {kEndpointRejected, kWarning, "endpoint entry rejected"},
+      {kPromotionWeighed, kInfo, "promotion weighed"},
+      {kPromotionOrdered, kWarning, "promotion ordered"},
+      {kPromotionAnswered, kInfo, "order to promote answered"},
+      {kRoutesInForce, kInfo, "route table in force"},
+      {kRoutesRejected, kError, "route table rejected"},
+      {kSettingsReloaded, kInfo, "settings read again"},
+      {kReadiness, kInfo, "readiness changed"},
+      {kLogLinesDropped, kWarning, "log lines dropped over their rate"},
+      {kStoreTurnedAway, kWarning, "store turned a call away"},
+      {kStoreHistoryGone, kWarning, "store forgot its history, read again"},
   };
   return kCatalogue;
 }
@@ -98,13 +122,31 @@
   return line;
 }
 
-void WriteLogLine(std::string_view line) {
-  const auto now = std::chrono::system_clock::now();
-  const auto seconds = std::chrono::floor<std::chrono::seconds>(now);
+auto LogTime() -> std::chrono::system_clock::time_point {
+  return std::chrono::system_clock::now();
+}
+
+void AppendLogLine(std::string& out,
+                   std::chrono::system_clock::time_point time,
+                   std::string_view line) {
+  const auto seconds = std::chrono::floor<std::chrono::seconds>(time);
   const auto ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(now - seconds);
-  fmt::print(stderr, "time={:%Y-%m-%dT%H:%M:%S}.{:03}Z {}\n", seconds,
-             ms.count(), line);
+      std::chrono::duration_cast<std::chrono::milliseconds>(time - seconds);
+  out += fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z {}\n", seconds,
+                     ms.count(), line);
+}
+
+void WriteLogLines(std::string_view lines) {
+  if (!lines.empty()) {
+    std::fwrite(lines.data(), 1, lines.size(), stdout);
+    std::fflush(stdout);
+  }
+}
+
+void WriteLogLine(std::string_view line) {
+  std::string out;
+  AppendLogLine(out, LogTime(), line);
+  WriteLogLines(out);
 }
 
 }  // namespace kingcuplock
--- a/kingcuplock/base/log.h
+++ b/kingcuplock/base/log.h
@@ -1,11 +1,12 @@
 #pragma once
 
-/// Numbered log events, one line of key=value on standard error each. The
+/// Numbered log events, one line of key=value on standard output each. The
 /// catalogue is docs/EVENTS.md.
 ///
 /// Example:
 ///   auto line = FormatEvent(Event::kOwnerAcquired, {{"database", name}});
 
+#include <chrono>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -50,6 +51,30 @@
   kEndpointLeaving = 506,
   kInstanceListRejected = 507,
   kFrameRejected = 600,
+  kStatementServed = 700,
+  kStatementSetBack = 701,
+  kStatementRefused = 702,
+  kStatementFailed = 703,
+  kTransactionIdle = 704,
+  kSessionPlaceLost = 705,
+  kClientRejected = 706,
+  kSessionOpened = 707,
+  kSessionClosed = 708,
+  kPrimaryBelieved = 720,
+  kEndpointFound = 721,
+  kEndpointGone = 722,
+  kEndpointReach = 723,
+  kEndpointRejected = 724,
+  kPromotionWeighed = 730,
+  kPromotionOrdered = 731,
+  kPromotionAnswered = 732,
+  kRoutesInForce = 740,
+  kRoutesRejected = 741,
+  kSettingsReloaded = 742,
+  kReadiness = 743,
+  kLogLinesDropped = 744,
+  kStoreTurnedAway = 745,
+  kStoreHistoryGone = 746,
 };
 
 /// One named value of an event.
@@ -71,7 +96,18 @@
 /// Returns the line for one event, without the time and newline.
 auto FormatEvent(Event event, const std::vector<Field>& fields) -> std::string;
 
-/// Writes a line with the wall-clock time in front to standard error.
+/// Returns the wall-clock time.
+auto LogTime() -> std::chrono::system_clock::time_point;
+
+/// Appends a line with its time in front to `out`.
+void AppendLogLine(std::string& out,
+                   std::chrono::system_clock::time_point time,
+                   std::string_view line);
+
+/// Writes whole lines to standard output at once.
+void WriteLogLines(std::string_view lines);
+
+/// Writes one line with the wall-clock time in front to standard output.
 void WriteLogLine(std::string_view line);
 
 }  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/gateway/gateway.cc
@@ -0,0 +1,357 @@
+#include "kingcuplock/gateway/gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "kingcuplock/schema/codec.h"
+
+namespace kingcuplock {
+namespace {
+
+/// Prefix of the gateway's own keys in the store.
+constexpr std::string_view kKeyPrefix = "kingcuplock/";
+
+auto NamesOf(const GatewaySettings& settings, const std::string& incarnation)
+    -> InstanceNames {
+  InstanceEntry self;
+  self.name = settings.instance;
+  self.host = settings.peer_listen.host;
+  self.port = settings.peer_listen.port;
+  self.data_centre = settings.data_centre;
+  return {settings.instance, incarnation, std::string(kKeyPrefix),
+          EncodeJson(nlohmann::json(self), FrameFormat::kJson)};
+}
+
+}  // namespace
+
+Gateway::Gateway(GatewaySettings settings,
+                 const std::string& incarnation,
+                 TimerService& timers,
+                 GatewayOutbox& out,
+                 Outbox& shell,
+                 AnswerObserver observer)
+    : settings_(std::move(settings)),
+      names_(NamesOf(settings_, incarnation)),
+      timers_(timers),
+      out_(out),
+      shell_(shell),
+      store_(settings_.store, settings_.timing, timers, shell),
+      routes_(shell, [this] { OnRoutesChanged(); }),
+      endpoints_(timers, [this] { OnEndpointsChanged(); }),
+      duties_kept_(
+          names_,
+          settings_.timing,
+          timers,
+          store_,
+          shell,
+          {[this](const std::string& group, const OwnerRecord& record) {
+             OnDutyAcquired(group, record);
+           },
+           [this](const std::string& group) { duties_.erase(group); },
+           [this](const std::string& group, const OwnerRecord& record) {
+             const auto it = duties_.find(group);
+             if (it != duties_.end() && record.owner == settings_.instance) {
+               it->second->SetEpoch(record.epoch);
+             }
+           }}),
+      peers_(settings_.instance,
+             settings_.timing,
+             timers,
+             shell,
+             {[this] { return BuildHeartbeat(); },
+              [this](const std::string& peer, const PeerMessage& message) {
+                OnPeerMessage(peer, message);
+              },
+              [this](const Heartbeat& it) {
+                if (NoteHeartbeat(it)) {
+                  peers_.Send(it.instance, RoutesWanted{settings_.instance});
+                }
+              },
+              [this](const std::string& peer) { reports_.erase(peer); },
+              [this] { ApplyInstances(); }}),
+      session_ports_{
+          [this](const std::string& it) { return routes_.Find(it); },
+          [this](const std::string& it) { return FindGroup(it); },
+          [this] { return Milliseconds(routes_.table().transaction_idle_ms); },
+          [this](ConnectionId) {}, std::move(observer)} {}
+
+Gateway::~Gateway() {
+  // Sessions give their connections back to the groups.
+  sessions_.clear();
+  duties_.clear();
+}
+
+auto Gateway::Start() -> void {
+  store_.Watch(
+      std::string(kRoutesKey), [this](const StoreItem& item, bool deleted) {
+        if (!deleted) {
+          routes_.Offer(
+              DecodeFrame(item.value, FrameFormat::kJson).get<RouteTable>(),
+              "store");
+        }
+      });
+  store_.Watch(std::string(kEndpointPrefix),
+               [this](const StoreItem& item, bool deleted) {
+                 OnEndpointItem(item, deleted);
+               });
+  store_.Watch(names_.key_prefix + "lease/",
+               [this](const StoreItem& item, bool deleted) {
+                 OnInstanceItem(item, deleted);
+               });
+  duties_kept_.Start();
+  store_.Start();
+  peers_.Start();
+  AskPeersForRoutes();
+}
+
+// --------------------------------------------------------------- clients
+
+auto Gateway::OnClientHello(ConnectionId client, const ClientHello& hello)
+    -> void {
+  StatementAnswer answer;
+  if (sessions_.contains(client)) {
+    answer.error = StatementError::kMalformed;
+    answer.text = "the session is open already";
+    out_.Add(AnswerClient{client, answer, true, true});
+    sessions_.erase(client);
+    return;
+  }
+  if (routes_.table().version == 0) {
+    answer.error = StatementError::kBusy;
+    answer.text = "no configuration is known yet; retry after 500 ms";
+  } else if (routes_.Find(hello.database) == nullptr) {
+    answer.error = StatementError::kUnknownDatabase;
+    answer.text = hello.database;
+  }
+  if (!answer.IsOk()) {
+    shell_.Log(Event::kClientRejected,
+               {{"client", std::to_string(client)},
+                {"database", hello.database},
+                {"routes_version", std::to_string(routes_.table().version)},
+                {"reason", std::string(ToString(answer.error))}});
+    out_.Add(AnswerClient{client, answer, true, true});
+    return;
+  }
+  shell_.Log(Event::kSessionOpened, {{"client", std::to_string(client)},
+                                     {"database", hello.database},
+                                     {"user", hello.user}});
+  sessions_[client] = std::make_unique<Session>(client, hello, session_ports_,
+                                                timers_, out_, shell_);
+  out_.Add(AnswerClient{client, answer, true, false});
+}
+
+auto Gateway::OnClientStatement(ConnectionId client, SessionStatement statement)
+    -> void {
+  const auto it = sessions_.find(client);
+  if (it == sessions_.end()) {
+    OnClientGarbage(client, {StatementError::kMalformed,
+                             "open the session before its statements"});
+    return;
+  }
+  it->second->Handle(std::move(statement));
+}
+
+auto Gateway::OnClientGarbage(ConnectionId client, const ClientGarbage& garbage)
+    -> void {
+  shell_.Log(Event::kClientRejected,
+             {{"client", std::to_string(client)}, {"reason", garbage.reason}});
+  sessions_.erase(client);
+  StatementAnswer answer;
+  answer.error = garbage.error;
+  answer.text = garbage.reason;
+  out_.Add(AnswerClient{client, std::move(answer), true, true});
+}
+
+auto Gateway::OnClientClosed(ConnectionId client) -> void {
+  if (sessions_.erase(client) > 0) {
+    shell_.Log(Event::kSessionClosed, {{"client", std::to_string(client)}});
+  }
+}
+
+// --------------------------------------------------------------- members
+
+auto Gateway::OnMemberOpened(ConnectionId link) -> void {
+  for (auto& [name, group] : groups_) {
+    if (group->OnOpened(link)) {
+      return;
+    }
+  }
+  out_.Add(CloseStream{link});
+}
+
+auto Gateway::OnMemberAnswer(ConnectionId link, const StatementAnswer& answer)
+    -> void {
+  for (auto& [name, group] : groups_) {
+    if (group->OnAnswer(link, answer)) {
+      return;
+    }
+  }
+}
+
+auto Gateway::OnMemberClosed(ConnectionId link, Reach reason) -> void {
+  for (auto& [name, group] : groups_) {
+    if (group->OnClosed(link, reason)) {
+      return;
+    }
+  }
+}
+
+// ---------------------------------------------- configuration, membership
+
+auto Gateway::FindGroup(const std::string& group) -> Group* {
+  const auto it = groups_.find(group);
+  return it == groups_.end() ? nullptr : it->second.get();
+}
+
+auto Gateway::OnRoutesChanged() -> void {
+  std::vector<std::string> names;
+  for (const auto& it : routes_.table().groups) {
+    names.push_back(it.name);
+    auto& group = groups_[it.name];
+    if (group) {
+      group->SetConfig(it);
+      continue;
+    }
+    group = std::make_unique<Group>(
+        it, settings_.data_centre, timers_, out_, shell_,
+        GroupPorts{[this, name = it.name] { SpreadGroup(name); }});
+  }
+  duties_kept_.SetDatabases(names);
+  ApplyInstances();
+  OnEndpointsChanged();
+}
+
+auto Gateway::OnEndpointsChanged() -> void {
+  // Several entries change in one turn; the groups take them together.
+  if (std::exchange(endpoints_pending_, true)) {
+    return;
+  }
+  timers_.After(Duration::zero(), [this] {
+    endpoints_pending_ = false;
+    for (auto& [name, group] : groups_) {
+      group->SetMembers(endpoints_.InGroup(name));
+    }
+  });
+}
+
+auto Gateway::OnEndpointItem(const StoreItem& item, bool deleted) -> void {
+  const auto member = item.key.substr(kEndpointPrefix.size());
+  if (deleted) {
+    endpoints_.Remove(member);
+    return;
+  }
+  endpoints_.Set(
+      DecodeFrame(item.value, FrameFormat::kJson).get<EndpointEntry>());
+}
+
+auto Gateway::OnInstanceItem(const StoreItem& item, bool deleted) -> void {
+  if (deleted) {
+    instances_.erase(item.key);
+  } else {
+    try {
+      instances_[item.key] =
+          DecodeFrame(item.value, FrameFormat::kJson).get<InstanceEntry>();
+    } catch (const SchemaError& ex) {
+      shell_.Log(Event::kInstanceListRejected,
+                 {{"key", item.key}, {"reason", ex.what()}});
+      return;
+    }
+  }
+  std::vector<InstanceEntry> listed;
+  for (const auto& [key, entry] : instances_) {
+    listed.push_back(entry);
+  }
+  peers_.SetPeers(listed);
+}
+
+auto Gateway::ApplyInstances() -> void {
+  const auto live = peers_.Live();
+  duties_kept_.SetLiveInstances(live);
+  // A registered instance that is not linked yet may hold connections too.
+  std::vector<std::string> names = live;
+  for (const auto& [key, entry] : instances_) {
+    names.push_back(entry.name);
+  }
+  std::sort(names.begin(), names.end());
+  names.erase(std::unique(names.begin(), names.end()), names.end());
+  for (auto& [name, group] : groups_) {
+    group->SetInstances(static_cast<std::int64_t>(names.size()));
+  }
+}
+
+// ------------------------------------------------------------------ duty
+
+auto Gateway::OnDutyAcquired(const std::string& group,
+                             const OwnerRecord& record) -> void {
+  auto* it = FindGroup(group);
+  if (it == nullptr) {
+    return;
+  }
+  PromotionPorts ports;
+  ports.peers_heard = [this](const std::string& name) {
+    return PeersHeard(name);
+  };
+  ports.ask_peers = [this](const std::string& name) { SpreadGroup(name); };
+  ports.isolated = [this] { return IsIsolated(); };
+  ports.renew_epoch = [this](const std::string& name) {
+    duties_kept_.RaiseEpoch(name, [this, name](bool written) {
+      const auto duty = duties_.find(name);
+      const auto* newest = duties_kept_.RecordOf(name);
+      if (written && duty != duties_.end() && newest != nullptr) {
+        duty->second->SetEpoch(newest->epoch);
+      }
+    });
+  };
+  ports.next_id = [this] { return ++last_order_; };
+  ports.holder = settings_.instance;
+  duties_[group] = std::make_unique<PromotionDuty>(
+      record.epoch, *it, std::move(ports), timers_, out_, shell_);
+  duties_[group]->Start();
+}
+
+auto Gateway::OnPromotionAnswered(std::int64_t id, PromotionOutcome outcome)
+    -> void {
+  for (auto& [group, duty] : duties_) {
+    if (duty->OnAnswered(id, outcome)) {
+      return;
+    }
+  }
+}
+
+auto Gateway::PeersHeard(const std::string& group) const
+    -> std::optional<Duration> {
+  std::optional<Duration> least;
+  const auto it = groups_.find(group);
+  for (const auto& [peer, by_group] : reports_) {
+    const auto heard = by_group.find(group);
+    if (heard == by_group.end() || it == groups_.end() ||
+        heard->second.report.primary != it->second->primary().member() ||
+        heard->second.report.heard_ms < 0) {
+      continue;
+    }
+    const auto age = timers_.Now() - heard->second.arrived +
+                     Milliseconds(heard->second.report.heard_ms);
+    least = std::min(least.value_or(age), age);
+  }
+  return least;
+}
+
+auto Gateway::IsIsolated() const -> bool {
+  const auto others = instances_.size() > 1;
+  return others && peers_.Live().size() <= 1 && !store_.IsReachable();
+}
+
+auto Gateway::Gauges() const -> GatewayGauges {
+  GatewayGauges out;
+  out.sessions = sessions_.size();
+  for (const auto& [name, group] : groups_) {
+    out.connections += group->Connections();
+    out.waiting += group->Waiting();
+  }
+  out.routes_version = routes_.table().version;
+  out.peers = peers_.Live().size() - 1;
+  out.ready = last_ready_;
+  return out;
+}
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/gateway/gateway.h
@@ -0,0 +1,171 @@
+#pragma once
+
+/// Everything that one gateway instance decides: events and time in, actions
+/// out, to two outboxes (clients and members; peers, store and logs).
+///
+/// Example:
+///   Gateway gateway(settings, "gw-1@17", timers, out, shell);
+///   gateway.Start();
+///   gateway.OnClientHello(client, hello);
+///   gateway.Handle(peer_or_store_event);
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "kingcuplock/actions/outbox.h"
+#include "kingcuplock/base/timer_service.h"
+#include "kingcuplock/gateway/endpoint_directory.h"
+#include "kingcuplock/gateway/gateway_outbox.h"
+#include "kingcuplock/gateway/group.h"
+#include "kingcuplock/gateway/promotion_duty.h"
+#include "kingcuplock/gateway/route_keeper.h"
+#include "kingcuplock/gateway/session.h"
+#include "kingcuplock/membership/peer_links.h"
+#include "kingcuplock/ownership/ownership_keeper.h"
+#include "kingcuplock/schema/messages.h"
+#include "kingcuplock/schema/settings.h"
+#include "kingcuplock/store_client/store_client.h"
+
+namespace kingcuplock {
+
+/// Keys under which the store client delivers the operators' and members'
+/// items, decoded.
+inline constexpr std::string_view kRoutesKey = "routes";
+inline constexpr std::string_view kEndpointPrefix = "endpoint/";
+
+/// Counts for the metrics page.
+struct GatewayGauges {
+  std::size_t sessions = 0;
+  std::size_t connections = 0;
+  std::size_t waiting = 0;
+  std::int64_t routes_version = 0;
+  std::size_t peers = 0;
+  bool ready = false;
+};
+
+/// Not thread safe.
+class Gateway {
+ public:
+  /// Notes a statement's answer, for metrics.
+  using AnswerObserver = std::function<void(StatementError, Duration)>;
+
+  /// `incarnation` differs between two runs of the same instance.
+  Gateway(GatewaySettings settings,
+          const std::string& incarnation,
+          TimerService& timers,
+          GatewayOutbox& out,
+          Outbox& shell,
+          AnswerObserver observer);
+  ~Gateway();
+  Gateway(const Gateway&) = delete;
+  auto operator=(const Gateway&) -> Gateway& = delete;
+
+  /// Connects to the store and the peers.
+  auto Start() -> void;
+
+  /// Handles an event of a peer link or the store.
+  auto Handle(const NodeEvent& event) -> void;
+
+  // Clients.
+  auto OnClientHello(ConnectionId client, const ClientHello& hello) -> void;
+  auto OnClientStatement(ConnectionId client, SessionStatement statement)
+      -> void;
+  auto OnClientGarbage(ConnectionId client, const ClientGarbage& garbage)
+      -> void;
+  auto OnClientClosed(ConnectionId client) -> void;
+
+  // Members.
+  auto OnMemberOpened(ConnectionId link) -> void;
+  auto OnMemberAnswer(ConnectionId link, const StatementAnswer& answer) -> void;
+  auto OnMemberClosed(ConnectionId link, Reach reason) -> void;
+
+  /// Takes the answer to an OrderPromotion.
+  auto OnPromotionAnswered(std::int64_t id, PromotionOutcome outcome) -> void;
+
+  /// Begins a planned stop; StopComplete follows in the shell's outbox.
+  auto BeginStop() -> void;
+
+  /// Returns whether the balancer may send new clients, and notes that it
+  /// asked.
+  auto AnswerReadinessProbe() -> bool;
+
+  auto Gauges() const -> GatewayGauges;
+
+ private:
+  // Configuration and membership.
+  auto OnRoutesChanged() -> void;
+  auto OnEndpointsChanged() -> void;
+  auto OnEndpointItem(const StoreItem& item, bool deleted) -> void;
+  auto OnInstanceItem(const StoreItem& item, bool deleted) -> void;
+  auto ApplyInstances() -> void;
+  auto FindGroup(const std::string& group) -> Group*;
+
+  // Peers.
+  auto OnPeerEvent(const NodeEvent& event) -> bool;
+  auto OnInboundPeer(ConnectionId source, const InboundMessage& message)
+      -> void;
+  auto OnPeerMessage(const std::string& peer, const PeerMessage& message)
+      -> void;
+  auto BuildHeartbeat() -> Heartbeat;
+  auto NoteHeartbeat(const Heartbeat& heartbeat) -> bool;
+  auto TakeOffer(const RoutesOffer& offer, std::string_view source) -> void;
+  auto BuildOffer() const -> RoutesOffer;
+  auto SpreadGroup(const std::string& group) -> void;
+  auto AskPeersForRoutes() -> void;
+
+  // Duty to promote.
+  auto OnDutyAcquired(const std::string& group, const OwnerRecord& record)
+      -> void;
+  auto PeersHeard(const std::string& group) const -> std::optional<Duration>;
+  auto IsIsolated() const -> bool;
+
+  // Planned stop.
+  auto StopTick() -> void;
+  auto CloseResting() -> void;
+  auto FinishStop() -> void;
+
+  GatewaySettings settings_;
+  InstanceNames names_;
+  TimerService& timers_;
+  GatewayOutbox& out_;
+  Outbox& shell_;
+  StoreClient store_;
+  RouteKeeper routes_;
+  EndpointDirectory endpoints_;
+  OwnershipKeeper duties_kept_;
+  PeerLinks peers_;
+  SessionPorts session_ports_;
+  std::map<std::string, std::unique_ptr<Group>> groups_;
+  std::map<std::string, std::unique_ptr<PromotionDuty>> duties_;
+  std::unordered_map<ConnectionId, std::unique_ptr<Session>> sessions_;
+  /// Instances registered in the store, by key.
+  std::map<std::string, InstanceEntry> instances_;
+  /// Newest report of each peer on each group's primary, with its arrival.
+  struct HeardReport {
+    GroupReport report;
+    Time arrived{};
+  };
+  std::map<std::string, std::map<std::string, HeardReport>> reports_;
+  /// Groups whose state heartbeats carry, and until when.
+  std::map<std::string, Time> spread_;
+  bool spreading_ = false;
+  std::int64_t last_order_ = 0;
+  bool endpoints_pending_ = false;
+  // Planned stop.
+  std::optional<Time> stopping_since_;
+  int refused_probes_ = 0;
+  std::optional<Time> out_of_rotation_since_;
+  bool duties_released_ = false;
+  bool stop_complete_ = false;
+  bool last_ready_ = false;
+};
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/gateway/gateway_peers.cc
@@ -0,0 +1,144 @@
+// What a gateway tells its peers and hears from them.
+
+#include <algorithm>
+#include <utility>
+
+#include "kingcuplock/gateway/gateway.h"
+
+namespace kingcuplock {
+namespace {
+
+/// Time in ms for which heartbeats carry a group's state after a change or a
+/// peer's question.
+constexpr Milliseconds kSpreadFor{3000};
+/// Pause in ms within which changes of several groups share one heartbeat.
+constexpr Milliseconds kSpreadPause{5};
+/// Interval in ms at which peers are asked for configuration and endpoints
+/// while the store can't be reached.
+constexpr Milliseconds kAskInterval{1000};
+
+}  // namespace
+
+auto Gateway::Handle(const NodeEvent& event) -> void {
+  if (const auto* opened = std::get_if<ConnectionOpened>(&event)) {
+    store_.OnOpened(opened->connection) || peers_.OnOpened(opened->connection);
+  } else if (const auto* closed = std::get_if<ConnectionClosed>(&event)) {
+    store_.OnClosed(closed->connection) || peers_.OnClosed(closed->connection);
+  } else if (const auto* arrived = std::get_if<MessageArrived>(&event)) {
+    if (const auto* inbound = std::get_if<InboundMessage>(&arrived->message)) {
+      OnInboundPeer(arrived->connection, *inbound);
+    } else if (const auto* peer = std::get_if<PeerMessage>(&arrived->message)) {
+      peers_.OnMessage(arrived->connection, *peer);
+    } else if (const auto* reply = std::get_if<StoreReply>(&arrived->message)) {
+      store_.OnReply(arrived->connection, *reply);
+    }
+  } else {
+    BeginStop();
+  }
+}
+
+auto Gateway::OnInboundPeer(ConnectionId source, const InboundMessage& message)
+    -> void {
+  if (const auto* heartbeat = std::get_if<Heartbeat>(&message)) {
+    const auto wants = NoteHeartbeat(*heartbeat);
+    shell_.Send(source, BuildHeartbeat());
+    peers_.OnInboundHeartbeat(*heartbeat);
+    if (wants) {
+      shell_.Send(source, RoutesWanted{settings_.instance});
+    }
+  } else if (std::holds_alternative<RoutesWanted>(message)) {
+    shell_.Send(source, BuildOffer());
+  } else if (const auto* offer = std::get_if<RoutesOffer>(&message)) {
+    TakeOffer(*offer, "peer");
+  } else if (const auto* hand_over = std::get_if<HandOver>(&message)) {
+    duties_kept_.AcceptHandOver(hand_over->database);
+  } else {
+    shell_.Log(Event::kFrameRejected,
+               {{"connection", std::to_string(source)},
+                {"reason", "a gateway takes no such frame from a peer"}});
+  }
+}
+
+auto Gateway::OnPeerMessage(const std::string& peer, const PeerMessage& message)
+    -> void {
+  if (const auto* offer = std::get_if<RoutesOffer>(&message)) {
+    TakeOffer(*offer, peer);
+  } else if (std::holds_alternative<RoutesWanted>(message)) {
+    peers_.Send(peer, BuildOffer());
+  }
+}
+
+auto Gateway::BuildOffer() const -> RoutesOffer {
+  return {routes_.table(), endpoints_.All()};
+}
+
+// Endpoints of a peer count only while the store, which knows better, is away.
+auto Gateway::TakeOffer(const RoutesOffer& offer, std::string_view source)
+    -> void {
+  routes_.Offer(offer.table, source);
+  if (store_.IsReachable() && endpoints_.Size() > 0) {
+    return;
+  }
+  for (const auto& it : offer.endpoints) {
+    endpoints_.Set(it);
+  }
+}
+
+auto Gateway::BuildHeartbeat() -> Heartbeat {
+  Heartbeat out;
+  out.instance = settings_.instance;
+  out.host = settings_.peer_listen.host;
+  out.port = settings_.peer_listen.port;
+  out.leaving = stopping_since_.has_value();
+  out.routes_version = routes_.table().version;
+  out.endpoints_known = static_cast<std::int64_t>(endpoints_.Size());
+  std::erase_if(spread_,
+                [this](const auto& it) { return it.second < timers_.Now(); });
+  for (const auto& [name, until] : spread_) {
+    if (const auto* group = FindGroup(name)) {
+      out.groups.push_back(group->Report());
+    }
+  }
+  return out;
+}
+
+// Returns whether the peer has something that this instance lacks.
+auto Gateway::NoteHeartbeat(const Heartbeat& heartbeat) -> bool {
+  for (const auto& it : heartbeat.groups) {
+    reports_[heartbeat.instance][it.group] = {it, timers_.Now()};
+    // The answer to this heartbeat tells what is known here.
+    spread_[it.group] = timers_.Now() + kSpreadFor;
+    if (auto* group = FindGroup(it.group)) {
+      group->NoteReport(it);
+    }
+  }
+  const auto lacks_endpoints =
+      !store_.IsReachable() &&
+      heartbeat.endpoints_known > static_cast<std::int64_t>(endpoints_.Size());
+  return heartbeat.routes_version > routes_.table().version || lacks_endpoints;
+}
+
+auto Gateway::SpreadGroup(const std::string& group) -> void {
+  spread_[group] = timers_.Now() + kSpreadFor;
+  if (std::exchange(spreading_, true)) {
+    return;
+  }
+  timers_.After(kSpreadPause, [this] {
+    spreading_ = false;
+    peers_.SendHeartbeats();
+  });
+}
+
+auto Gateway::AskPeersForRoutes() -> void {
+  timers_.After(kAskInterval, [this] { AskPeersForRoutes(); });
+  if (store_.IsReachable()) {
+    return;
+  }
+  for (const auto& it : peers_.Live()) {
+    if (peers_.Send(it, RoutesWanted{settings_.instance})) {
+      return;
+    }
+  }
+}
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/gateway/group.cc
@@ -0,0 +1,456 @@
+#include "kingcuplock/gateway/group.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcuplock {
+namespace {
+
+/// Tasks that one queue holds; far more than can be served within a deadline.
+constexpr std::size_t kQueueLimit = 256;
+/// Statements assumed to run at once per waiting queue; only the estimate of
+/// the wait depends on it.
+constexpr std::int64_t kQueueSlots = 2;
+/// Time in ms assumed from an order until the member leads, before one was
+/// measured.
+constexpr Milliseconds kFirstPromotionTime{1000};
+/// Part of the latency target after which a read without an answer is sent to
+/// another member as well.
+constexpr int kHedgeDivisor = 2;
+
+auto Contains(const std::vector<std::string>& names, std::string_view name)
+    -> bool {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+auto SeedOf(std::string_view name) -> std::uint64_t {
+  return std::hash<std::string_view>{}(name);
+}
+
+}  // namespace
+
+Group::Group(GroupConfig config,
+             std::string data_centre,
+             TimerService& timers,
+             GatewayOutbox& out,
+             Outbox& log,
+             GroupPorts ports)
+    : config_(std::move(config)),
+      data_centre_(std::move(data_centre)),
+      timers_(timers),
+      out_(out),
+      log_(log),
+      ports_(std::move(ports)),
+      runner_(timers,
+              {[this](const TaskPtr& task, TaskResult result) {
+                 Finish(task, std::move(result));
+               },
+               [this](const TaskPtr& task,
+                      const std::string& member,
+                      Setback setback) { OnSetback(task, member, setback); },
+               [this](const std::string& member, Time sent, LogPlace place) {
+                 NoteLed(member, sent, place);
+               },
+               [this](const std::string& member, Duration latency) {
+                 if (auto* it = FindMember(member)) {
+                   it->latency.Add(timers_.Now(), latency);
+                 }
+               }}),
+      primary_queue_(kQueueLimit, kQueueSlots),
+      pin_queue_(kQueueLimit, kQueueSlots),
+      read_queue_(kQueueLimit, kQueueSlots),
+      retry_after_(SeedOf(config_.name)),
+      promotion_time_(kFirstPromotionTime) {}
+
+Group::~Group() = default;
+
+// ---------------------------------------------------------------- members
+
+auto Group::Share() const -> std::int64_t {
+  return std::max<std::int64_t>(
+      config_.connections / std::max<std::int64_t>(instances_, 1), 1);
+}
+
+auto Group::SetConfig(const GroupConfig& config) -> void {
+  config_ = config;
+  SetInstances(instances_);
+}
+
+auto Group::SetInstances(std::int64_t instances) -> void {
+  instances_ = instances;
+  for (auto& [name, member] : members_) {
+    member.pool->SetShare(Share());
+  }
+}
+
+auto Group::SetMembers(std::span<const EndpointEntry> entries) -> void {
+  for (auto& [name, member] : members_) {
+    member.registered = false;
+  }
+  for (const auto& it : entries) {
+    if (auto* known = FindMember(it.member)) {
+      UpdateMember(*known, it);
+    } else {
+      AddMember(it);
+    }
+    if (it.leads && primary_.NoteClaim(it.member)) {
+      PrimaryChanged("registered");
+    }
+  }
+  DropUnregistered();
+  Pump();
+}
+
+auto Group::AddMember(const EndpointEntry& entry) -> void {
+  auto& member = members_[entry.member];
+  member.entry = entry;
+  const auto name = entry.member;
+  member.pool = std::make_shared<LinkPool>(
+      entry, timers_, out_,
+      LinkPoolPorts{guard_.Bind([this] { Pump(); }),
+                    guard_.Bind([this, name](Reach reach) {
+                      OnReachChanged(name, reach);
+                    })});
+  member.pool->SetShare(Share());
+  member.pool->Start();
+  log_.Log(Event::kEndpointFound, {{"group", config_.name},
+                                   {"member", name},
+                                   {"host", entry.host},
+                                   {"port", std::to_string(entry.port)}});
+}
+
+auto Group::UpdateMember(Member& member, const EndpointEntry& entry) -> void {
+  member.registered = true;
+  const auto moved = member.entry.host != entry.host ||
+                     member.entry.port != entry.port ||
+                     member.entry.born_ms != entry.born_ms;
+  const auto began_to_lead = entry.leads && !member.entry.leads;
+  if (entry.leaving && !member.entry.leaving) {
+    log_.Log(Event::kEndpointLeaving,
+             {{"group", config_.name}, {"member", entry.member}});
+  }
+  if (moved) {
+    // A new run of the member, or another place: nothing known of it holds.
+    member.pool->Retire();
+    AddMember(entry);
+    return;
+  }
+  member.entry = entry;
+  member.pool->SetEntry(entry);
+  if (began_to_lead && primary_.member() != entry.member) {
+    AskStatus(entry.member, 0,
+              guard_.Bind([this, name = entry.member](const MemberReport* it) {
+                if (it != nullptr) {
+                  OnLocated(name, *it);
+                }
+              }));
+  }
+}
+
+auto Group::DropUnregistered() -> void {
+  for (auto it = members_.begin(); it != members_.end();) {
+    if (it->second.registered) {
+      ++it;
+      continue;
+    }
+    log_.Log(Event::kEndpointGone,
+             {{"group", config_.name}, {"member", it->first}});
+    it->second.pool->Retire();
+    if (primary_.NoteLost(it->first)) {
+      PrimaryChanged("unregistered");
+    }
+    it = members_.erase(it);
+  }
+}
+
+auto Group::FindMember(std::string_view member) -> Member* {
+  const auto it = members_.find(member);
+  return it == members_.end() ? nullptr : &it->second;
+}
+
+auto Group::PrimaryMember() -> Member* {
+  return primary_.IsUsable() ? FindMember(primary_.member()) : nullptr;
+}
+
+auto Group::FindEntry(std::string_view member) const -> const EndpointEntry* {
+  const auto it = members_.find(member);
+  return it == members_.end() ? nullptr : &it->second.entry;
+}
+
+auto Group::MemberNames() const -> std::vector<std::string> {
+  std::vector<std::string> names;
+  for (const auto& [name, member] : members_) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+auto Group::ReachOf(std::string_view member) const -> Reach {
+  const auto it = members_.find(member);
+  return it == members_.end() ? Reach::kUntried : it->second.pool->reach();
+}
+
+auto Group::Waiting() const -> std::size_t {
+  return primary_queue_.Size() + pin_queue_.Size() + read_queue_.Size();
+}
+
+auto Group::Connections() const -> std::size_t {
+  std::size_t n = 0;
+  for (const auto& [name, member] : members_) {
+    n += member.pool->Size();
+  }
+  return n;
+}
+
+template <typename Handler>
+auto Group::AnyPool(Handler handle) -> bool {
+  return std::any_of(members_.begin(), members_.end(),
+                     [&](auto& it) { return handle(*it.second.pool); });
+}
+
+auto Group::OnOpened(ConnectionId link) -> bool {
+  return AnyPool([&](LinkPool& it) { return it.OnOpened(link); });
+}
+
+auto Group::OnAnswer(ConnectionId link, const StatementAnswer& answer) -> bool {
+  return AnyPool([&](LinkPool& it) { return it.OnAnswer(link, answer); });
+}
+
+auto Group::OnClosed(ConnectionId link, Reach reason) -> bool {
+  return AnyPool([&](LinkPool& it) { return it.OnClosed(link, reason); });
+}
+
+// --------------------------------------------------------------- dispatch
+
+auto Group::Submit(const TaskPtr& task) -> void {
+  retries_.NoteRequest();
+  task->deadline_timer =
+      timers_.After(task->deadline - timers_.Now(),
+                    guard_.Bind([this, task] { OnDeadline(task); }));
+  const auto may_hedge =
+      task->opening == Opening::kNone && task->access != Access::kWrite;
+  if (may_hedge) {
+    task->hedge_timer =
+        timers_.After(Milliseconds(task->route.target_ms) / kHedgeDivisor,
+                      guard_.Bind([this, task] { Hedge(task); }));
+  }
+  Dispatch(task);
+}
+
+auto Group::Cancel(const TaskPtr& task) -> void {
+  if (std::exchange(task->done, true)) {
+    return;
+  }
+  timers_.Cancel(task->deadline_timer);
+  timers_.Cancel(task->hedge_timer);
+  primary_queue_.Remove(task) || pin_queue_.Remove(task) ||
+      read_queue_.Remove(task);
+}
+
+auto Group::Dispatch(const TaskPtr& task) -> void {
+  if (task->done) {
+    return;
+  }
+  if (task->access == Access::kReplicaRead && PickFloor(task)) {
+    DispatchRead(task);
+  } else {
+    DispatchToPrimary(task);
+  }
+}
+
+// Returns false, and turns the read into one at the primary, when no sample of
+// the primary is young enough to say what a replica must have.
+auto Group::PickFloor(const TaskPtr& task) -> bool {
+  const auto not_before = task->arrived - Milliseconds(task->route.max_age_ms);
+  const auto floor = ages_.FloorSince(not_before);
+  if (!floor) {
+    task->access = Access::kPrimaryRead;
+    return false;
+  }
+  task->floor = task->seen ? std::max(*floor, *task->seen) : *floor;
+  return true;
+}
+
+auto Group::ReadOrder(const Task& task) const -> std::vector<std::string> {
+  std::vector<MemberView> views;
+  for (const auto& [name, member] : members_) {
+    const auto reach = member.pool->reach();
+    if (member.entry.leaving || reach == Reach::kRefused ||
+        reach == Reach::kSilent || Contains(task.tried, name)) {
+      continue;
+    }
+    views.push_back({name, member.entry.data_centre,
+                     primary_.IsUsable() && name == primary_.member(),
+                     member.pool->Lent(), member.entry.slots,
+                     member.latency.At(timers_.Now())});
+  }
+  return OrderForRead(views, data_centre_);
+}
+
+auto Group::DispatchRead(const TaskPtr& task) -> void {
+  const auto order = ReadOrder(*task);
+  for (const auto& it : order) {
+    if (TryStart(task, members_.at(it))) {
+      return;
+    }
+  }
+  if (order.empty()) {
+    DispatchToPrimary(task);
+    return;
+  }
+  Enqueue(read_queue_, task);
+}
+
+auto Group::MayUsePrimary() const -> bool {
+  if (!primary_.IsUsable()) {
+    return false;
+  }
+  return !primary_.IsPending() ||
+         (trials_ == 0 && timers_.Now() >= next_trial_);
+}
+
+auto Group::DispatchToPrimary(const TaskPtr& task) -> void {
+  auto* member = PrimaryMember();
+  const auto tried_all =
+      member == nullptr || Contains(task->tried, member->entry.member);
+  if (task->access == Access::kReplicaRead && tried_all) {
+    // Every member refused; one may have caught up a moment later.
+    RetryLater(task, Setback::kBusy);
+    return;
+  }
+  if (member != nullptr && MayUsePrimary() && QueueOf(*task).Size() == 0 &&
+      TryStart(task, *member)) {
+    return;
+  }
+  const auto back = ExpectedReturn();
+  if (back && *back > task->deadline) {
+    Refuse(task, "no primary before the deadline");
+    return;
+  }
+  Enqueue(QueueOf(*task), task);
+}
+
+auto Group::TryStart(const TaskPtr& task, Member& member) -> bool {
+  const auto link = member.pool->Acquire(*task->session, task->prepared_ptr(),
+                                         task->lending());
+  if (link == 0) {
+    return false;
+  }
+  task->sent = timers_.Now();
+  const auto at_pending = primary_.IsPending() &&
+                          member.entry.member == primary_.member() &&
+                          task->access != Access::kReplicaRead;
+  trials_ += at_pending ? 1 : 0;
+  runner_.Start(task, member.pool, link);
+  return true;
+}
+
+auto Group::QueueOf(const Task& task) -> Queue& {
+  if (task.access == Access::kReplicaRead) {
+    return read_queue_;
+  }
+  return task.opening == Opening::kNone ? primary_queue_ : pin_queue_;
+}
+
+auto Group::Enqueue(Queue& queue, const TaskPtr& task) -> void {
+  const auto shed =
+      queue.Push({task->route.priority, task->client, task->deadline, task},
+                 timers_.Now());
+  for (const auto& it : shed) {
+    Refuse(it.item, "the queue is longer than the deadline");
+  }
+}
+
+auto Group::Pump() -> void {
+  if (std::exchange(pumping_, true)) {
+    return;
+  }
+  PumpPrimary(pin_queue_);
+  PumpPrimary(primary_queue_);
+  PumpReads();
+  pumping_ = false;
+}
+
+auto Group::PumpPrimary(Queue& queue) -> void {
+  auto* member = PrimaryMember();
+  const auto lending =
+      &queue == &pin_queue_ ? Lending::kTransaction : Lending::kStatement;
+  std::vector<Queue::Entry> late;
+  while (member != nullptr && MayUsePrimary() && queue.Size() > 0) {
+    if (!member->pool->HasFree(lending)) {
+      // Asks for another connection if the share has room.
+      member->pool->Acquire({}, nullptr, lending);
+      break;
+    }
+    auto next = queue.Pop(timers_.Now(), late);
+    if (!next || next->item->done) {
+      continue;
+    }
+    if (!TryStart(next->item, *member)) {
+      queue.PushFront(std::move(*next));
+      break;
+    }
+    member = PrimaryMember();
+  }
+  for (const auto& it : late) {
+    Refuse(it.item, "the deadline is too near");
+  }
+}
+
+auto Group::PumpReads() -> void {
+  std::vector<Queue::Entry> late;
+  for (auto n = read_queue_.Size(); n > 0; --n) {
+    const auto any_free =
+        std::any_of(members_.begin(), members_.end(), [](const auto& it) {
+          return it.second.pool->HasFree(Lending::kStatement);
+        });
+    if (!any_free) {
+      break;
+    }
+    auto next = read_queue_.Pop(timers_.Now(), late);
+    if (!next || next->item->done) {
+      continue;
+    }
+    const auto task = next->item;
+    const auto order =
+        PickFloor(task) ? ReadOrder(*task) : std::vector<std::string>{};
+    const auto started = std::any_of(
+        order.begin(), order.end(),
+        [&](const auto& it) { return TryStart(task, members_.at(it)); });
+    if (!started && !order.empty()) {
+      read_queue_.PushFront(std::move(*next));
+      break;
+    }
+    if (!started) {
+      DispatchToPrimary(task);
+    }
+  }
+  for (const auto& it : late) {
+    Refuse(it.item, "the deadline is too near");
+  }
+}
+
+auto Group::Hedge(const TaskPtr& task) -> void {
+  task->hedge_timer = 0;
+  if (task->done || !task->offered || task->running == 0 ||
+      !retries_.TryTake()) {
+    return;
+  }
+  const auto reads_replica =
+      task->access == Access::kReplicaRead && PickFloor(task);
+  if (!reads_replica) {
+    auto* member = PrimaryMember();
+    if (member != nullptr && MayUsePrimary()) {
+      TryStart(task, *member);
+    }
+    return;
+  }
+  for (const auto& it : ReadOrder(*task)) {
+    // Any other connection may do: the silent one can be at fault alone.
+    if (TryStart(task, members_.at(it))) {
+      return;
+    }
+  }
+}
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/gateway/group.h
@@ -0,0 +1,197 @@
+#pragma once
+
+/// One group of members as an instance serves it: connections to the members,
+/// belief about the primary, floors of reads, and the tasks that wait.
+///
+/// Example:
+///   Group group(config, "dc-a", timers, out, log, ports);
+///   group.SetMembers(entries);
+///   group.Submit(task);
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "kingcuplock/actions/outbox.h"
+#include "kingcuplock/admission/admission_queue.h"
+#include "kingcuplock/admission/retry_after.h"
+#include "kingcuplock/admission/retry_budget.h"
+#include "kingcuplock/base/life_guard.h"
+#include "kingcuplock/base/timer_service.h"
+#include "kingcuplock/gateway/gateway_outbox.h"
+#include "kingcuplock/gateway/link_pool.h"
+#include "kingcuplock/gateway/primary_view.h"
+#include "kingcuplock/gateway/read_choice.h"
+#include "kingcuplock/gateway/task.h"
+#include "kingcuplock/gateway/task_runner.h"
+#include "kingcuplock/routing/age_tracker.h"
+#include "kingcuplock/schema/messages.h"
+
+namespace kingcuplock {
+
+/// What a group reports.
+struct GroupPorts {
+  /// The belief about the primary, or its reach, changed: peers should know.
+  std::function<void()> changed;
+};
+
+/// Not thread safe.
+class Group {
+ public:
+  Group(GroupConfig config,
+        std::string data_centre,
+        TimerService& timers,
+        GatewayOutbox& out,
+        Outbox& log,
+        GroupPorts ports);
+  ~Group();
+  Group(const Group&) = delete;
+  auto operator=(const Group&) -> Group& = delete;
+
+  /// Takes a new configuration.
+  auto SetConfig(const GroupConfig& config) -> void;
+
+  /// Sets how many instances share the members' connections.
+  auto SetInstances(std::int64_t instances) -> void;
+
+  /// Sets the members registered now. One that is missing gets no new work.
+  auto SetMembers(std::span<const EndpointEntry> entries) -> void;
+
+  /// Runs a task, now or once a connection is free; `finish` is called once,
+  /// maybe before this returns.
+  auto Submit(const TaskPtr& task) -> void;
+
+  /// Forgets a task whose client has left.
+  auto Cancel(const TaskPtr& task) -> void;
+
+  /// Takes a peer's report about this group's primary.
+  auto NoteReport(const GroupReport& report) -> void;
+
+  /// A member proved on a transaction's connection that it led after `sent`.
+  auto NoteLed(const std::string& member, Time sent, LogPlace place) -> void;
+
+  /// A transaction's member refused as it does not lead.
+  auto NoteReadOnly(const std::string& member) -> void;
+
+  /// A promotion of `member` to `term` was accepted.
+  auto NoteOrdered(const std::string& member, std::int64_t term) -> void;
+
+  /// Asks one member for its status, or with `pause_term` to stop receiving.
+  /// Calls back with nullptr if it can't be asked or does not answer in time.
+  auto AskStatus(const std::string& member,
+                 std::int64_t pause_term,
+                 std::function<void(const MemberReport*)> callback) -> void;
+
+  /// Lets a paused member receive again.
+  auto Resume(const std::string& member) -> void;
+
+  /// Returns what this instance knows of the primary.
+  auto Report() const -> GroupReport;
+
+  auto config() const -> const GroupConfig& { return config_; }
+  auto primary() const -> const PrimaryView& { return primary_; }
+  /// Returns the entry of a registered member, or nullptr.
+  auto FindEntry(std::string_view member) const -> const EndpointEntry*;
+  /// Returns the names of registered members.
+  auto MemberNames() const -> std::vector<std::string>;
+  auto ReachOf(std::string_view member) const -> Reach;
+  /// Returns how many tasks wait for a connection or a primary.
+  auto Waiting() const -> std::size_t;
+  /// Returns the connections held to all members.
+  auto Connections() const -> std::size_t;
+
+  /// Handle an event; return false if the connection is not this group's.
+  auto OnOpened(ConnectionId link) -> bool;
+  auto OnAnswer(ConnectionId link, const StatementAnswer& answer) -> bool;
+  auto OnClosed(ConnectionId link, Reach reason) -> bool;
+
+ private:
+  struct Member {
+    EndpointEntry entry;
+    std::shared_ptr<LinkPool> pool;
+    LatencyAverage latency;
+    bool registered = true;
+  };
+  using Queue = AdmissionQueue<TaskPtr>;
+
+  // Members.
+  auto AddMember(const EndpointEntry& entry) -> void;
+  auto UpdateMember(Member& member, const EndpointEntry& entry) -> void;
+  auto DropUnregistered() -> void;
+  auto Share() const -> std::int64_t;
+  auto FindMember(std::string_view member) -> Member*;
+  auto PrimaryMember() -> Member*;
+  template <typename Handler>
+  auto AnyPool(Handler handle) -> bool;
+
+  // Dispatch.
+  auto Dispatch(const TaskPtr& task) -> void;
+  auto DispatchToPrimary(const TaskPtr& task) -> void;
+  auto DispatchRead(const TaskPtr& task) -> void;
+  auto PickFloor(const TaskPtr& task) -> bool;
+  auto ReadOrder(const Task& task) const -> std::vector<std::string>;
+  auto TryStart(const TaskPtr& task, Member& member) -> bool;
+  auto Enqueue(Queue& queue, const TaskPtr& task) -> void;
+  auto QueueOf(const Task& task) -> Queue&;
+  auto Pump() -> void;
+  auto PumpPrimary(Queue& queue) -> void;
+  auto PumpReads() -> void;
+  auto MayUsePrimary() const -> bool;
+  auto ExpectedReturn() const -> std::optional<Time>;
+  auto Hedge(const TaskPtr& task) -> void;
+
+  // Outcomes.
+  auto Finish(const TaskPtr& task, TaskResult result) -> void;
+  auto Refuse(const TaskPtr& task, std::string_view why) -> void;
+  auto OnDeadline(const TaskPtr& task) -> void;
+  auto OnSetback(const TaskPtr& task,
+                 const std::string& member,
+                 Setback setback) -> void;
+  auto OnLagging(const TaskPtr& task, const std::string& member) -> void;
+  auto RetryLater(const TaskPtr& task, Setback setback) -> void;
+  auto LogTask(Event event,
+               const Task& task,
+               std::string_view member,
+               std::string_view outcome) -> void;
+
+  // Primary.
+  auto Locate() -> void;
+  auto OnLocated(const std::string& member, const MemberReport& status) -> void;
+  auto PrimaryChanged(std::string_view source) -> void;
+  auto OnReachChanged(const std::string& member, Reach reach) -> void;
+
+  GroupConfig config_;
+  std::string data_centre_;
+  TimerService& timers_;
+  GatewayOutbox& out_;
+  Outbox& log_;
+  GroupPorts ports_;
+  LifeGuard guard_;
+  TaskRunner runner_;
+  std::map<std::string, Member, std::less<>> members_;
+  std::int64_t instances_ = 1;
+  PrimaryView primary_;
+  AgeTracker ages_;
+  Queue primary_queue_;
+  Queue pin_queue_;
+  Queue read_queue_;
+  RetryBudget retries_;
+  RetryAfter retry_after_;
+  /// While a primary is pending: when the next task may try it, and whether
+  /// one does.
+  Time next_trial_{};
+  int trials_ = 0;
+  Time ordered_at_{};
+  /// Time in which an ordered member began to lead, as measured.
+  Duration promotion_time_;
+  bool locating_ = false;
+  bool pumping_ = false;
+};
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/gateway/group_outcome.cc
@@ -0,0 +1,408 @@
+// Outcomes of tasks, and the belief about the primary.
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "kingcuplock/gateway/group.h"
+
+namespace kingcuplock {
+namespace {
+
+/// Attempts of one task at most: the first, and one for each other member of a
+/// group of three, and one more.
+constexpr int kMaxAttempts = 4;
+/// Pause in ms before a task that a member was too busy for is tried again:
+/// about one statement's work.
+constexpr Milliseconds kBusyPause{12};
+/// Pause in ms between tries of a member that was ordered to lead.
+constexpr Milliseconds kTrialPause{25};
+/// Time in ms that suspecting and replacing a silent primary takes beside the
+/// promotion itself.
+constexpr Milliseconds kDetectionTime{500};
+/// Pause in ms between searches for the primary.
+constexpr Milliseconds kLocatePause{150};
+/// Time in ms for a member's status.
+constexpr Milliseconds kStatusTimeout{250};
+/// Time in ms after which an ordered member that does not lead is given up.
+constexpr Milliseconds kPendingLimit{3000};
+/// Weight of a new measurement of the promotion time, one in so many.
+constexpr int kPromotionWeight = 2;
+
+}  // namespace
+
+auto Group::LogTask(Event event,
+                    const Task& task,
+                    std::string_view member,
+                    std::string_view outcome) -> void {
+  const auto ms = [](Duration it) {
+    return std::to_string(std::chrono::duration_cast<Milliseconds>(it).count());
+  };
+  std::vector<std::pair<std::string, std::string>> fields = {
+      {"request", task.statement.id},
+      {"group", config_.name},
+      {"member", std::string(member)},
+      {"outcome", std::string(outcome)},
+      {"access", task.access == Access::kReplicaRead   ? "replica"
+                 : task.access == Access::kPrimaryRead ? "primary_read"
+                                                       : "write"},
+      {"primary", primary_.member()},
+      {"term", std::to_string(primary_.term())},
+      {"attempts", std::to_string(task.attempts)},
+      {"age_ms", ms(timers_.Now() - task.arrived)},
+      {"left_ms", ms(task.deadline - timers_.Now())}};
+  if (task.floor) {
+    fields.emplace_back(
+        "floor", fmt::format("{}.{}", task.floor->term, task.floor->position));
+  }
+  log_.Log(event, std::move(fields));
+}
+
+auto Group::Finish(const TaskPtr& task, TaskResult result) -> void {
+  if (std::exchange(task->done, true)) {
+    return;
+  }
+  timers_.Cancel(task->deadline_timer);
+  timers_.Cancel(task->hedge_timer);
+  if (primary_.IsPending() && result.member == primary_.member() &&
+      task->access != Access::kReplicaRead) {
+    trials_ = std::max(trials_ - 1, 0);
+  }
+  if (result.answer.IsOk() && task->sent != Time{}) {
+    QueueOf(*task).NoteService(timers_.Now() - task->sent);
+  }
+  result.place_lost = task->place_lost;
+  LogTask(
+      result.answer.IsOk() ? Event::kStatementServed : Event::kStatementFailed,
+      *task, result.member, ToString(result.answer.error));
+  const auto finish = std::exchange(task->finish, nullptr);
+  finish(std::move(result));
+}
+
+auto Group::Refuse(const TaskPtr& task, std::string_view why) -> void {
+  if (task->done) {
+    return;
+  }
+  primary_queue_.Remove(task) || pin_queue_.Remove(task) ||
+      read_queue_.Remove(task);
+  auto wait = QueueOf(*task).ExpectedTime(task->route.priority);
+  if (const auto back = ExpectedReturn();
+      back && task->access != Access::kReplicaRead) {
+    wait = std::max(wait, *back - timers_.Now());
+  }
+  TaskResult result;
+  result.answer.error = StatementError::kBusy;
+  result.answer.text =
+      fmt::format("{}; retry after {} ms", why, retry_after_.Ms(wait));
+  LogTask(Event::kStatementRefused, *task, "", why);
+  Finish(task, std::move(result));
+}
+
+auto Group::OnDeadline(const TaskPtr& task) -> void {
+  if (task->done) {
+    return;
+  }
+  if (task->running == 0) {
+    Refuse(task, "no member could take it before the deadline");
+    return;
+  }
+  const auto writes = Writes(task->statement, task->prepared_ptr());
+  const auto may_have_run =
+      writes && task->opening == Opening::kNone && task->offered;
+  TaskResult result;
+  result.answer.error =
+      may_have_run ? StatementError::kUnknownOutcome : StatementError::kAborted;
+  result.answer.text = "the member did not answer within the route's timeout";
+  Finish(task, std::move(result));
+}
+
+// ----------------------------------------------------------------- setbacks
+
+auto Group::OnSetback(const TaskPtr& task,
+                      const std::string& member,
+                      Setback setback) -> void {
+  const auto at_pending = primary_.IsPending() && member == primary_.member() &&
+                          task->access != Access::kReplicaRead;
+  if (at_pending) {
+    trials_ = std::max(trials_ - 1, 0);
+    next_trial_ = timers_.Now() + kTrialPause;
+    timers_.After(kTrialPause, guard_.Bind([this] { Pump(); }));
+  }
+  if (task->done) {
+    return;
+  }
+  LogTask(Event::kStatementSetBack, *task, member, ToString(setback));
+  if (task->running > 0) {
+    // Another attempt is under way and decides.
+    return;
+  }
+  if (setback == Setback::kReadOnly) {
+    --task->attempts;
+    NoteReadOnly(member);
+    const auto back = ExpectedReturn();
+    if (back && *back > task->deadline) {
+      Refuse(task, "no primary before the deadline");
+      return;
+    }
+    QueueOf(*task).PushFront(
+        {task->route.priority, task->client, task->deadline, task});
+    timers_.After(Duration::zero(), guard_.Bind([this] { Pump(); }));
+    return;
+  }
+  if (setback == Setback::kLagging) {
+    OnLagging(task, member);
+    return;
+  }
+  if (task->access == Access::kReplicaRead) {
+    task->tried.push_back(member);
+  }
+  RetryLater(task, setback);
+}
+
+auto Group::OnLagging(const TaskPtr& task, const std::string& member) -> void {
+  task->tried.push_back(member);
+  const auto at_primary = primary_.IsUsable() && member == primary_.member();
+  if (!at_primary) {
+    --task->attempts;
+    Dispatch(task);
+    return;
+  }
+  // The primary's log lacks the position: a promotion cut it off.
+  if (task->seen && task->floor == task->seen) {
+    task->place_lost = true;
+    task->seen.reset();
+  } else {
+    ages_.Clear();
+  }
+  task->tried.clear();
+  RetryLater(task, Setback::kLagging);
+}
+
+auto Group::RetryLater(const TaskPtr& task, Setback setback) -> void {
+  const auto moves_on =
+      task->access == Access::kReplicaRead && !ReadOrder(*task).empty();
+  if (task->attempts >= kMaxAttempts || !retries_.TryTake()) {
+    if (setback == Setback::kFailed) {
+      TaskResult result;
+      result.answer.error = StatementError::kAborted;
+      result.answer.text = "the members failed it; nothing is kept";
+      Finish(task, std::move(result));
+    } else {
+      Refuse(task, ToString(setback));
+    }
+    return;
+  }
+  if (moves_on && setback != Setback::kBusy) {
+    Dispatch(task);
+    return;
+  }
+  if (!moves_on) {
+    task->tried.clear();
+  }
+  timers_.After(kBusyPause * std::max(task->attempts, 1),
+                guard_.Bind([this, task] { Dispatch(task); }));
+}
+
+// ------------------------------------------------------------------ primary
+
+auto Group::ExpectedReturn() const -> std::optional<Time> {
+  const auto now = timers_.Now();
+  if (primary_.IsPending()) {
+    return std::max(ordered_at_ + promotion_time_, now);
+  }
+  const auto reach = ReachOf(primary_.member());
+  const auto down = !primary_.IsUsable() || reach == Reach::kRefused ||
+                    reach == Reach::kSilent;
+  if (down) {
+    return now + kDetectionTime + promotion_time_;
+  }
+  return std::nullopt;
+}
+
+auto Group::NoteLed(const std::string& member, Time sent, LogPlace place)
+    -> void {
+  const auto was_pending = primary_.IsPending();
+  const auto term = std::max(primary_.term(), place.term);
+  if (member == primary_.member() || place.term > primary_.term()) {
+    if (primary_.NoteLeads(member, term)) {
+      if (was_pending && member == primary_.member()) {
+        const auto took = timers_.Now() - ordered_at_;
+        promotion_time_ += (took - promotion_time_) / kPromotionWeight;
+      }
+      PrimaryChanged("led");
+    }
+    ages_.AddSample(sent, place);
+  }
+}
+
+auto Group::NoteReadOnly(const std::string& member) -> void {
+  if (primary_.NoteLost(member)) {
+    PrimaryChanged("read_only");
+  }
+}
+
+auto Group::NoteOrdered(const std::string& member, std::int64_t term) -> void {
+  const auto serves = ReachOf(primary_.member()) == Reach::kReached;
+  if (!primary_.NoteOrdered(member, term, serves)) {
+    return;
+  }
+  ordered_at_ = timers_.Now();
+  next_trial_ = ordered_at_;
+  PrimaryChanged("ordered");
+  timers_.After(kPendingLimit, guard_.Bind([this, term] {
+    const auto pending = primary_.IsPending() && primary_.term() == term;
+    if (pending || primary_.successor_term() == term) {
+      primary_.DropPending();
+      PrimaryChanged("did not lead in time");
+    }
+  }));
+}
+
+auto Group::NoteReport(const GroupReport& report) -> void {
+  if (report.primary.empty() || FindMember(report.primary) == nullptr) {
+    return;
+  }
+  if (report.pending) {
+    NoteOrdered(report.primary, report.term);
+  } else if (report.reach != Reach::kRefused &&
+             report.reach != Reach::kSilent &&
+             primary_.NoteLeads(report.primary, report.term)) {
+    PrimaryChanged("peer");
+  }
+}
+
+auto Group::PrimaryChanged(std::string_view source) -> void {
+  trials_ = 0;
+  log_.Log(Event::kPrimaryBelieved,
+           {{"group", config_.name},
+            {"primary", primary_.member()},
+            {"term", std::to_string(primary_.term())},
+            {"successor", primary_.successor()},
+            {"state", primary_.IsLost()      ? "lost"
+                      : primary_.IsPending() ? "pending"
+                                             : "leads"},
+            {"source", std::string(source)}});
+  ports_.changed();
+  if (primary_.IsLost()) {
+    Locate();
+  }
+  timers_.After(Duration::zero(), guard_.Bind([this] { Pump(); }));
+}
+
+auto Group::OnReachChanged(const std::string& member, Reach reach) -> void {
+  log_.Log(Event::kEndpointReach, {{"group", config_.name},
+                                   {"member", member},
+                                   {"reach", std::string(ToString(reach))}});
+  if (member == primary_.member()) {
+    ports_.changed();
+    const auto down = reach == Reach::kRefused || reach == Reach::kSilent;
+    if (down && !primary_.successor().empty() && primary_.NoteLost(member)) {
+      PrimaryChanged("successor takes over");
+    }
+  }
+  if (reach == Reach::kReached) {
+    timers_.After(Duration::zero(), guard_.Bind([this] { Pump(); }));
+  }
+}
+
+auto Group::AskStatus(const std::string& member,
+                      std::int64_t pause_term,
+                      std::function<void(const MemberReport*)> callback)
+    -> void {
+  const auto it = members_.find(member);
+  const auto pool = it == members_.end() ? nullptr : it->second.pool;
+  const auto link =
+      pool ? pool->Acquire({}, nullptr, Lending::kControl) : ConnectionId{0};
+  if (link == 0) {
+    callback(nullptr);
+    return;
+  }
+  SessionStatement ask;
+  ask.kind = pause_term == 0 ? StatementKind::kStatus : StatementKind::kPause;
+  ask.arguments = pause_term == 0 ? "" : std::to_string(pause_term);
+  const auto answered = std::make_shared<bool>(false);
+  const auto timer = timers_.After(kStatusTimeout, [=] {
+    if (!std::exchange(*answered, true)) {
+      callback(nullptr);
+      pool->Discard(link);
+    }
+  });
+  pool->Run(link, std::move(ask), [=, this](const StatementAnswer* answer) {
+    if (std::exchange(*answered, true)) {
+      return;
+    }
+    timers_.Cancel(timer);
+    pool->Release(link);
+    const auto told = answer != nullptr && answer->IsOk() && answer->status;
+    callback(told ? &*answer->status : nullptr);
+  });
+}
+
+auto Group::Resume(const std::string& member) -> void {
+  const auto it = members_.find(member);
+  if (it == members_.end()) {
+    return;
+  }
+  const auto pool = it->second.pool;
+  if (const auto link = pool->Acquire({}, nullptr, Lending::kControl)) {
+    pool->Run(link, {.kind = StatementKind::kResume},
+              [](const StatementAnswer*) {});
+    pool->Release(link);
+  }
+}
+
+auto Group::Locate() -> void {
+  if (std::exchange(locating_, true)) {
+    return;
+  }
+  for (const auto& name : MemberNames()) {
+    AskStatus(name, 0, guard_.Bind([this, name](const MemberReport* it) {
+      if (it != nullptr) {
+        OnLocated(name, *it);
+      }
+    }));
+  }
+  timers_.After(kLocatePause, guard_.Bind([this] {
+    locating_ = false;
+    if (primary_.IsLost()) {
+      Locate();
+    }
+  }));
+}
+
+auto Group::OnLocated(const std::string& member, const MemberReport& status)
+    -> void {
+  if (!status.is_primary || !primary_.NoteLeads(member, status.term)) {
+    return;
+  }
+  PrimaryChanged("status");
+}
+
+auto Group::Report() const -> GroupReport {
+  GroupReport report;
+  report.group = config_.name;
+  report.heard_ms = -1;
+  if (!primary_.successor().empty()) {
+    report.primary = primary_.successor();
+    report.term = primary_.successor_term();
+    report.pending = true;
+    return report;
+  }
+  report.primary = primary_.IsUsable() ? primary_.member() : "";
+  report.term = primary_.term();
+  report.pending = primary_.IsPending();
+  const auto it = members_.find(primary_.member());
+  if (it == members_.end()) {
+    return report;
+  }
+  report.reach = it->second.pool->reach();
+  if (const auto heard = it->second.pool->LastHeard()) {
+    report.heard_ms =
+        std::chrono::duration_cast<Milliseconds>(timers_.Now() - *heard)
+            .count();
+  }
+  return report;
+}
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/gateway/link_pool.cc
@@ -0,0 +1,360 @@
+#include "kingcuplock/gateway/link_pool.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace kingcuplock {
+namespace {
+
+/// Time in ms to open a connection; several round trips between data centres,
+/// well under the target of 800 ms for a failover.
+constexpr Milliseconds kConnectTimeout{300};
+/// Silence in ms of a member with statements outstanding after which a fresh
+/// connection is tried; above the slowest ordinary statement that a full queue
+/// of a member delays.
+constexpr Milliseconds kSilence{250};
+/// Interval in ms at which silence is looked for while statements run.
+constexpr Milliseconds kSilenceCheck{50};
+/// First and longest pause in ms before a failed connection is tried again.
+constexpr Milliseconds kFirstPause{30};
+constexpr Milliseconds kLongestPause{500};
+/// Pause in ms before opening again after the member refused one for its limit.
+constexpr Milliseconds kLimitPause{400};
+/// Idle time in ms after which connections beyond the first are closed.
+constexpr Milliseconds kIdleClose{20'000};
+/// Connections that the gateway's own statements may add to the share.
+constexpr std::int64_t kControlExtra = 1;
+
+}  // namespace
+
+LinkPool::LinkPool(EndpointEntry entry,
+                   TimerService& timers,
+                   GatewayOutbox& out,
+                   LinkPoolPorts ports)
+    : entry_(std::move(entry)),
+      timers_(timers),
+      out_(out),
+      ports_(std::move(ports)) {}
+
+LinkPool::~LinkPool() {
+  timers_.Cancel(reopen_timer_);
+  timers_.Cancel(silence_timer_);
+  for (const auto& [id, link] : links_) {
+    out_.Add(CloseStream{id});
+  }
+}
+
+auto LinkPool::SetShare(std::int64_t share) -> void {
+  share_ = std::max<std::int64_t>(share, 1);
+  CloseSurplus();
+}
+
+auto LinkPool::Start() -> void {
+  if (links_.empty()) {
+    OpenOne();
+  }
+}
+
+auto LinkPool::MayPin() const -> bool {
+  return pinned_ < std::max<std::int64_t>(share_ - 1, 1);
+}
+
+auto LinkPool::MayOpen(Lending lending) const -> bool {
+  const auto extra = lending == Lending::kControl ? kControlExtra : 0;
+  return !retired_ && timers_.Now() >= no_opening_before_ &&
+         static_cast<std::int64_t>(links_.size()) < share_ + extra;
+}
+
+auto LinkPool::HasFree(Lending lending) const -> bool {
+  if (lending == Lending::kTransaction && !MayPin()) {
+    return false;
+  }
+  return std::any_of(links_.begin(), links_.end(), [](const auto& it) {
+    return it.second.state == State::kIdle;
+  });
+}
+
+auto LinkPool::Acquire(const SessionState& session,
+                       const PreparedStatement* prepared,
+                       Lending lending) -> ConnectionId {
+  if (lending == Lending::kTransaction && !MayPin()) {
+    return 0;
+  }
+  ConnectionId best = 0;
+  auto best_cost = 0;
+  for (const auto& [id, link] : links_) {
+    if (link.state != State::kIdle) {
+      continue;
+    }
+    const auto cost = link.set_up.ReplayCost(session, prepared);
+    if (best == 0 || cost < best_cost) {
+      best = id;
+      best_cost = cost;
+    }
+  }
+  if (best == 0) {
+    if (MayOpen(lending) && opening_ < lent_ + 1) {
+      OpenOne();
+    }
+    return 0;
+  }
+  auto& link = links_.at(best);
+  link.state = State::kLent;
+  link.lending = lending;
+  ++lent_;
+  pinned_ += lending == Lending::kTransaction ? 1 : 0;
+  return best;
+}
+
+auto LinkPool::SetUp(ConnectionId id,
+                     const SessionState& session,
+                     const PreparedStatement* prepared) -> std::string {
+  const auto it = links_.find(id);
+  if (it == links_.end()) {
+    return {};
+  }
+  std::vector<SessionStatement> statements;
+  auto name = it->second.set_up.Replay(session, prepared, statements);
+  for (auto& statement : statements) {
+    Run(id, std::move(statement), [this, id](const StatementAnswer* answer) {
+      if (answer != nullptr && !answer->IsOk()) {
+        // What the connection has is no longer known.
+        Discard(id);
+      }
+    });
+  }
+  return name;
+}
+
+auto LinkPool::Run(ConnectionId id,
+                   SessionStatement statement,
+                   LinkCallback callback) -> void {
+  const auto it = links_.find(id);
+  if (it == links_.end()) {
+    callback(nullptr);
+    return;
+  }
+  it->second.pending.push_back({std::move(callback), timers_.Now()});
+  out_.Add(SendStatement{id, std::move(statement)});
+  WatchSilence();
+}
+
+auto LinkPool::Release(ConnectionId id) -> void {
+  const auto it = links_.find(id);
+  if (it == links_.end() || it->second.state != State::kLent) {
+    return;
+  }
+  auto& link = it->second;
+  if (!link.pending.empty()) {
+    link.state = State::kReturning;
+    return;
+  }
+  --lent_;
+  pinned_ -= link.lending == Lending::kTransaction ? 1 : 0;
+  link.state = State::kIdle;
+  link.idle_since = timers_.Now();
+  CloseSurplus();
+  ports_.freed();
+}
+
+auto LinkPool::Discard(ConnectionId id) -> void {
+  if (links_.contains(id)) {
+    out_.Add(CloseStream{id});
+    Remove(id);
+    ReopenLater();
+  }
+}
+
+auto LinkPool::Remove(ConnectionId id) -> void {
+  auto node = links_.extract(id);
+  if (node.empty()) {
+    return;
+  }
+  auto& link = node.mapped();
+  const auto lent =
+      link.state == State::kLent || link.state == State::kReturning;
+  lent_ -= lent ? 1 : 0;
+  pinned_ -= lent && link.lending == Lending::kTransaction ? 1 : 0;
+  const auto opening =
+      link.state == State::kOpening || link.state == State::kGreeting;
+  opening_ -= opening ? 1 : 0;
+  for (auto& it : link.pending) {
+    it.callback(nullptr);
+  }
+}
+
+auto LinkPool::Retire() -> void {
+  retired_ = true;
+  timers_.Cancel(reopen_timer_);
+  std::vector<ConnectionId> idle;
+  for (const auto& [id, link] : links_) {
+    if (link.state != State::kLent && link.state != State::kReturning) {
+      idle.push_back(id);
+    }
+  }
+  for (const auto id : idle) {
+    out_.Add(CloseStream{id});
+    Remove(id);
+  }
+}
+
+auto LinkPool::OpenOne() -> void {
+  const auto id = out_.Open(entry_.host, entry_.port, kConnectTimeout);
+  links_[id].state = State::kOpening;
+  ++opening_;
+}
+
+auto LinkPool::OnOpened(ConnectionId id) -> bool {
+  const auto it = links_.find(id);
+  if (it == links_.end()) {
+    return false;
+  }
+  it->second.state = State::kGreeting;
+  it->second.pending.push_back({[](const StatementAnswer*) {}, timers_.Now()});
+  out_.Add(GreetMember{id, entry_.group, entry_.member});
+  reopen_pause_ = Duration::zero();
+  MarkReach(Reach::kReached);
+  return true;
+}
+
+auto LinkPool::OnAnswer(ConnectionId id, const StatementAnswer& answer)
+    -> bool {
+  const auto it = links_.find(id);
+  if (it == links_.end()) {
+    return false;
+  }
+  auto& link = it->second;
+  last_heard_ = timers_.Now();
+  if (link.pending.empty()) {
+    // An answer that nobody asked for: whose it is can't be known.
+    Discard(id);
+    return true;
+  }
+  auto callback = std::move(link.pending.front().callback);
+  link.pending.pop_front();
+  if (link.state == State::kGreeting) {
+    OnGreeted(id, answer);
+    return true;
+  }
+  callback(&answer);
+  // The callback may have closed the connection.
+  const auto again = links_.find(id);
+  if (again != links_.end() && again->second.state == State::kReturning &&
+      again->second.pending.empty()) {
+    again->second.state = State::kLent;
+    Release(id);
+  }
+  return true;
+}
+
+auto LinkPool::OnGreeted(ConnectionId id, const StatementAnswer& answer)
+    -> void {
+  if (answer.IsOk()) {
+    auto& link = links_.at(id);
+    link.state = State::kIdle;
+    link.idle_since = timers_.Now();
+    --opening_;
+    CloseSurplus();
+    ports_.freed();
+    return;
+  }
+  out_.Add(CloseStream{id});
+  Remove(id);
+  if (answer.error == StatementError::kTooManyConnections) {
+    no_opening_before_ = timers_.Now() + kLimitPause;
+    return;
+  }
+  if (answer.error == StatementError::kWrongMember) {
+    // Another process listens at this address now.
+    MarkReach(Reach::kRefused);
+  }
+  ReopenLater();
+}
+
+auto LinkPool::OnClosed(ConnectionId id, Reach reason) -> bool {
+  const auto it = links_.find(id);
+  if (it == links_.end()) {
+    return false;
+  }
+  const auto opening = it->second.state == State::kOpening;
+  Remove(id);
+  if (opening) {
+    MarkReach(reason);
+  }
+  ReopenLater();
+  return true;
+}
+
+// Only an attempt to open a connection changes the reach; the end of an open
+// one proves nothing about the member.
+auto LinkPool::MarkReach(Reach reach) -> void {
+  if (std::exchange(reach_, reach) != reach) {
+    ports_.reach_changed(reach);
+  }
+}
+
+auto LinkPool::ReopenLater() -> void {
+  if (retired_ || !links_.empty() || reopening_) {
+    return;
+  }
+  reopening_ = true;
+  const auto pause = reopen_pause_;
+  reopen_pause_ = std::clamp<Duration>(2 * pause, kFirstPause, kLongestPause);
+  reopen_timer_ = timers_.After(pause, [this] {
+    reopening_ = false;
+    if (!retired_ && links_.empty()) {
+      OpenOne();
+    }
+  });
+}
+
+auto LinkPool::CloseSurplus() -> void {
+  const auto now = timers_.Now();
+  std::vector<ConnectionId> surplus;
+  auto left = static_cast<std::int64_t>(links_.size());
+  for (const auto& [id, link] : links_) {
+    const auto old = left > 1 && now - link.idle_since > kIdleClose;
+    if (link.state == State::kIdle && (retired_ || left > share_ || old)) {
+      surplus.push_back(id);
+      --left;
+    }
+  }
+  for (const auto id : surplus) {
+    out_.Add(CloseStream{id});
+    Remove(id);
+  }
+}
+
+auto LinkPool::OldestUnanswered() const -> std::optional<Time> {
+  std::optional<Time> oldest;
+  for (const auto& [id, link] : links_) {
+    if (!link.pending.empty()) {
+      const auto sent = link.pending.front().sent;
+      oldest = std::min(oldest.value_or(sent), sent);
+    }
+  }
+  return oldest;
+}
+
+auto LinkPool::WatchSilence() -> void {
+  if (silence_timer_ == 0) {
+    silence_timer_ = timers_.After(kSilenceCheck, [this] { CheckSilence(); });
+  }
+}
+
+auto LinkPool::CheckSilence() -> void {
+  silence_timer_ = 0;
+  const auto oldest = OldestUnanswered();
+  if (!oldest) {
+    return;
+  }
+  const auto now = timers_.Now();
+  const auto quiet_since = std::max(*oldest, last_heard_.value_or(*oldest));
+  if (now - quiet_since >= kSilence && opening_ == 0 && !retired_) {
+    OpenOne();
+  }
+  WatchSilence();
+}
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/gateway/link_pool.h
@@ -0,0 +1,155 @@
+#pragma once
+
+/// Connections to one member. Each is lent to one statement or transaction at a
+/// time; a connection whose session set-up fits best goes first. The pool keeps
+/// one connection open at all times, which also tells whether the member can be
+/// reached, and tells a dead member from a dead connection by a fresh one.
+///
+/// Example:
+///   LinkPool pool(entry, timers, out, {.freed = ..., .reach_changed = ...});
+///   pool.SetShare(3);
+///   if (auto link = pool.Acquire(session, nullptr, false)) {
+///     pool.Run(link, statement, callback);
+///   }
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "kingcuplock/base/timer_service.h"
+#include "kingcuplock/gateway/gateway_outbox.h"
+#include "kingcuplock/schema/messages.h"
+#include "kingcuplock/statement/session_state.h"
+
+namespace kingcuplock {
+
+/// Gets a member's answer, or nullptr when the connection ended first.
+using LinkCallback = std::function<void(const StatementAnswer*)>;
+
+/// What a pool reports.
+struct LinkPoolPorts {
+  /// A connection became free.
+  std::function<void()> freed;
+  /// The outcome of opening connections changed.
+  std::function<void(Reach)> reach_changed;
+};
+
+/// How a connection is lent.
+enum class Lending {
+  /// For one statement.
+  kStatement,
+  /// For a whole transaction.
+  kTransaction,
+  /// For the gateway's own statements; may go beyond the share.
+  kControl
+};
+
+/// Not thread safe.
+class LinkPool {
+ public:
+  LinkPool(EndpointEntry entry,
+           TimerService& timers,
+           GatewayOutbox& out,
+           LinkPoolPorts ports);
+  ~LinkPool();
+  LinkPool(const LinkPool&) = delete;
+  auto operator=(const LinkPool&) -> LinkPool& = delete;
+
+  /// Sets how many connections this instance may hold; surplus idle ones close.
+  auto SetShare(std::int64_t share) -> void;
+
+  /// Opens the first connection.
+  auto Start() -> void;
+
+  /// Lends a free connection, the one that needs the least set-up; 0 if none is
+  /// free, and then opens another if the share allows. O(connections).
+  auto Acquire(const SessionState& session,
+               const PreparedStatement* prepared,
+               Lending lending) -> ConnectionId;
+
+  /// Sends the set-up that `session` needs ahead of its next statement; returns
+  /// the name of `prepared` on the connection.
+  auto SetUp(ConnectionId link,
+             const SessionState& session,
+             const PreparedStatement* prepared) -> std::string;
+
+  /// Sends a statement on a lent connection. Answers come in order.
+  auto Run(ConnectionId link, SessionStatement statement, LinkCallback callback)
+      -> void;
+
+  /// Takes a connection back once its answers are in.
+  auto Release(ConnectionId link) -> void;
+
+  /// Closes a lent connection; callbacks that wait get nullptr.
+  auto Discard(ConnectionId link) -> void;
+
+  /// Closes idle connections and opens no more.
+  auto Retire() -> void;
+
+  auto entry() const -> const EndpointEntry& { return entry_; }
+  auto SetEntry(const EndpointEntry& entry) -> void { entry_ = entry; }
+  auto reach() const -> Reach { return reach_; }
+  /// Returns when the member last sent anything; nullopt for never.
+  auto LastHeard() const -> std::optional<Time> { return last_heard_; }
+  /// Returns how many connections are lent.
+  auto Lent() const -> std::int64_t { return lent_; }
+  /// Returns how many connections are open or being opened.
+  auto Size() const -> std::size_t { return links_.size(); }
+  /// Returns whether Acquire() would lend a connection now.
+  auto HasFree(Lending lending) const -> bool;
+
+  /// Handle an event; return false if the connection is not this pool's.
+  auto OnOpened(ConnectionId link) -> bool;
+  auto OnAnswer(ConnectionId link, const StatementAnswer& answer) -> bool;
+  auto OnClosed(ConnectionId link, Reach reason) -> bool;
+
+ private:
+  enum class State { kOpening, kGreeting, kIdle, kLent, kReturning };
+  struct Pending {
+    LinkCallback callback;
+    Time sent{};
+  };
+  struct Link {
+    State state = State::kOpening;
+    Lending lending = Lending::kStatement;
+    LinkState set_up;
+    std::deque<Pending> pending;
+    Time idle_since{};
+  };
+
+  auto OpenOne() -> void;
+  auto MayOpen(Lending lending) const -> bool;
+  auto MayPin() const -> bool;
+  auto OnGreeted(ConnectionId id, const StatementAnswer& answer) -> void;
+  auto Remove(ConnectionId id) -> void;
+  auto MarkReach(Reach reach) -> void;
+  auto ReopenLater() -> void;
+  auto CloseSurplus() -> void;
+  auto WatchSilence() -> void;
+  auto CheckSilence() -> void;
+  auto OldestUnanswered() const -> std::optional<Time>;
+
+  EndpointEntry entry_;
+  TimerService& timers_;
+  GatewayOutbox& out_;
+  LinkPoolPorts ports_;
+  std::map<ConnectionId, Link> links_;
+  std::int64_t share_ = 1;
+  std::int64_t lent_ = 0;
+  std::int64_t pinned_ = 0;
+  std::int64_t opening_ = 0;
+  Reach reach_ = Reach::kUntried;
+  std::optional<Time> last_heard_;
+  Time no_opening_before_{};
+  Duration reopen_pause_{};
+  TimerId reopen_timer_ = 0;
+  bool reopening_ = false;
+  TimerId silence_timer_ = 0;
+  bool retired_ = false;
+};
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/gateway/promotion_duty.h
@@ -0,0 +1,112 @@
+#pragma once
+
+/// Replaces the primary of one group while this instance holds the duty: weighs
+/// the suspicion against what peers hear, asks the members how far their logs
+/// reach, orders the furthest to lead. Every order has a fencing token of its
+/// own, as an order without an answer may be carried out later.
+///
+/// Example:
+///   PromotionDuty duty("bookings", epoch, group, ports, timers, out, log);
+///   duty.Start();
+///   duty.OnAnswered(id, PromotionOutcome::kAccepted);
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "kingcuplock/actions/outbox.h"
+#include "kingcuplock/base/life_guard.h"
+#include "kingcuplock/base/timer_service.h"
+#include "kingcuplock/failover/candidate.h"
+#include "kingcuplock/gateway/gateway_outbox.h"
+#include "kingcuplock/gateway/group.h"
+
+namespace kingcuplock {
+
+/// What a duty asks of the gateway.
+struct PromotionPorts {
+  /// Returns how long ago any live peer heard the group's primary, as far as
+  /// fresh reports tell; nullopt if none did.
+  std::function<std::optional<Duration>(const std::string& group)> peers_heard;
+  /// Asks the peers for fresh reports.
+  std::function<void(const std::string& group)> ask_peers;
+  /// Returns whether this instance seems cut off from its peers and the store.
+  std::function<bool()> isolated;
+  /// Asks for a higher epoch of the duty, or its loss.
+  std::function<void(const std::string& group)> renew_epoch;
+  /// Returns the next id of an order.
+  std::function<std::int64_t()> next_id;
+  /// Own instance name.
+  std::string holder;
+};
+
+/// Not thread safe.
+class PromotionDuty {
+ public:
+  PromotionDuty(std::int64_t epoch,
+                Group& group,
+                PromotionPorts ports,
+                TimerService& timers,
+                GatewayOutbox& out,
+                Outbox& log);
+  ~PromotionDuty();
+  PromotionDuty(const PromotionDuty&) = delete;
+  auto operator=(const PromotionDuty&) -> PromotionDuty& = delete;
+
+  /// Begins to look after the group.
+  auto Start() -> void;
+
+  /// Takes a higher epoch of the same holder.
+  auto SetEpoch(std::int64_t epoch) -> void;
+
+  /// Takes the answer to an order; returns false if it is not this duty's.
+  auto OnAnswered(std::int64_t id, PromotionOutcome outcome) -> bool;
+
+ private:
+  enum class Phase { kWatching, kHearing, kOrdering };
+
+  auto Tick() -> void;
+  auto Reason() -> std::optional<std::string_view>;
+  auto LostFor() -> Duration;
+  auto MayGoOn(std::string_view reason) -> bool;
+  auto BeginHearing(std::string_view reason) -> void;
+  auto OnHeard(std::int64_t attempt,
+               const std::string& member,
+               const MemberReport* status) -> void;
+  auto Choose() -> void;
+  auto Order(const std::string& member) -> void;
+  auto Abandon(std::string_view why) -> void;
+  auto IsCandidate(const std::string& member) const -> bool;
+
+  std::int64_t epoch_;
+  Group& group_;
+  PromotionPorts ports_;
+  TimerService& timers_;
+  GatewayOutbox& out_;
+  Outbox& log_;
+  LifeGuard guard_;
+  Phase phase_ = Phase::kWatching;
+  TimerId tick_timer_ = 0;
+  std::optional<Time> suspected_since_;
+  std::optional<Time> lost_since_;
+  Time not_before_{};
+  std::string reason_;
+  Hearings<> hearings_;
+  std::int64_t attempt_ = 0;
+  std::int64_t fences_used_ = 0;
+  std::size_t expected_ = 0;
+  std::size_t answered_ = 0;
+  bool paused_ = false;
+  std::size_t most_members_ = 0;
+  std::int64_t order_id_ = 0;
+  std::string ordered_member_;
+  std::int64_t ordered_term_ = 0;
+  int rejections_ = 0;
+  /// Members that did not take an order, and until when they are passed over.
+  std::map<std::string, Time> passed_over_;
+};
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/gateway/task.h
@@ -0,0 +1,111 @@
+#pragma once
+
+/// One statement, or the first of a transaction, on its way to a member.
+///
+/// Example:
+///   auto task = std::make_shared<Task>();
+///   task->statement = statement;
+///   task->finish = [](TaskResult result) { Answer(result.answer); };
+///   group.Submit(task);
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "kingcuplock/base/connection_id.h"
+#include "kingcuplock/base/timer_service.h"
+#include "kingcuplock/gateway/link_pool.h"
+#include "kingcuplock/schema/messages.h"
+#include "kingcuplock/session/log_place.h"
+#include "kingcuplock/statement/session_state.h"
+#include "kingcuplock/statement/statement.h"
+
+namespace kingcuplock {
+
+/// What a statement needs of the member that runs it.
+enum class Access {
+  /// The primary, for data that may change.
+  kWrite,
+  /// The primary, proved to lead while it reads.
+  kPrimaryRead,
+  /// Any member that has reached a floor.
+  kReplicaRead
+};
+
+/// How a task begins a transaction.
+enum class Opening {
+  /// It does not: a single statement.
+  kNone,
+  kReadWrite,
+  kReadOnly
+};
+
+/// A connection lent to a transaction.
+struct PinnedLink {
+  std::shared_ptr<LinkPool> pool;
+  ConnectionId link = 0;
+
+  explicit operator bool() const { return pool != nullptr; }
+};
+
+/// How a task ended.
+struct TaskResult {
+  StatementAnswer answer;
+  /// The transaction's connection; empty unless the task began one and the
+  /// statement had success.
+  PinnedLink pinned;
+  /// Member that gave the answer, empty if none did.
+  std::string member;
+  /// Whether the session's last position was cut off by a promotion.
+  bool place_lost = false;
+};
+
+/// Shared between the session and the group's queues.
+struct Task {
+  ConnectionId client = 0;
+  SessionStatement statement;
+  /// For executions: what the prepared statement runs.
+  std::optional<PreparedStatement> prepared;
+  RouteConfig route;
+  Access access = Access::kWrite;
+  Opening opening = Opening::kNone;
+  /// The client's id of its BEGIN; empty if the text sent differs from it.
+  std::string begin_id;
+  std::shared_ptr<const SessionState> session;
+  /// Position that the session has written up to.
+  std::optional<LogPlace> seen;
+  Time arrived{};
+  Time deadline{};
+  std::function<void(TaskResult)> finish;
+
+  // Progress.
+  /// Members that refused this task or failed it.
+  std::vector<std::string> tried;
+  int attempts = 0;
+  /// Number of attempts that wait for an answer.
+  int running = 0;
+  /// Whether a member was asked to run the statement itself.
+  bool offered = false;
+  bool done = false;
+  bool place_lost = false;
+  /// Floor of the newest attempt, and the age of the sample it came from.
+  std::optional<LogPlace> floor;
+  Time sent{};
+  TimerId deadline_timer = 0;
+  TimerId hedge_timer = 0;
+
+  auto lending() const -> Lending {
+    return opening == Opening::kNone ? Lending::kStatement
+                                     : Lending::kTransaction;
+  }
+  auto prepared_ptr() const -> const PreparedStatement* {
+    return prepared ? &*prepared : nullptr;
+  }
+};
+
+using TaskPtr = std::shared_ptr<Task>;
+
+}  // namespace kingcuplock
--- a/kingcuplock/ownership/lease_keeper.cc
+++ b/kingcuplock/ownership/lease_keeper.cc
@@ -59,7 +59,8 @@
   StoreCall call;
   call.op = StoreOp::kCompareAndSwap;
   call.key = names_.LeaseKey(lease);
-  call.value = names_.instance;
+  call.value =
+      names_.registration.empty() ? names_.instance : names_.registration;
   call.lease = lease;
   store_.Call(std::move(call), [this, sent, lease](const StoreAnswer* answer) {
     if (answer == nullptr || answer->status != StoreStatus::kDone) {
--- a/kingcuplock/ownership/lease_keeper.h
+++ b/kingcuplock/ownership/lease_keeper.h
@@ -27,6 +27,8 @@
   std::string incarnation;
   /// Prefix of the deployment's keys, ending in '/'.
   std::string key_prefix;
+  /// What the instance tells the others of itself; its name if empty.
+  std::string registration = {};
 
   /// Returns the key that lives as long as a lease.
   auto LeaseKey(std::int64_t lease) const -> std::string {
--- a/kingcuplock/routing/age_tracker.cc
+++ b/kingcuplock/routing/age_tracker.cc
@@ -44,4 +44,15 @@
   return now - std::prev(it)->sent;
 }
 
+auto AgeTracker::FloorSince(Time not_before) const -> std::optional<LogPlace> {
+  const auto it = std::lower_bound(samples_.begin(), samples_.end(), not_before,
+                                   [](const auto& sample, const auto& time) {
+                                     return sample.sent < time;
+                                   });
+  if (it == samples_.end()) {
+    return std::nullopt;
+  }
+  return it->place;
+}
+
 }  // namespace kingcuplock
--- a/kingcuplock/routing/age_tracker.h
+++ b/kingcuplock/routing/age_tracker.h
@@ -27,6 +27,11 @@
   /// sample is old enough to tell.
   auto AgeAt(LogPlace place, Time now) const -> std::optional<Duration>;
 
+  /// Returns the lowest position known to hold everything that was committed
+  /// before `not_before`: the oldest sample asked for since; nullopt without
+  /// one.
+  auto FloorSince(Time not_before) const -> std::optional<LogPlace>;
+
   /// Forgets all samples, as after a change of primary.
   void Clear() { samples_.clear(); }
 
--- a/kingcuplock/runtime/log_duty.cc
+++ b/kingcuplock/runtime/log_duty.cc
@@ -9,15 +9,23 @@
 
 /// Events that the ring holds.
 constexpr std::size_t kLogRingSize = 1024;
+/// Events after which the thread is woken; fewer wait for its next look.
+constexpr int kWakeAfter = 256;
 /// Longest sleep in ms between looks at the ring.
-constexpr std::chrono::milliseconds kIdle{200};
+constexpr std::chrono::milliseconds kIdle{100};
 
-void WriteOne(const LogAction& action) {
+auto LineOf(const LogAction& action) -> std::string {
   std::vector<Field> fields;
   for (const auto& [name, value] : action.fields) {
     fields.emplace_back(name, value);
   }
-  WriteLogLine(FormatEvent(action.event, fields));
+  return FormatEvent(action.event, fields);
+}
+
+auto SecondNow() -> std::int64_t {
+  return std::chrono::duration_cast<std::chrono::seconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
 }
 
 }  // namespace
@@ -42,24 +50,57 @@
 
 void LogDuty::Write(Event event,
                     std::vector<std::pair<std::string, std::string>> fields) {
-  LogAction action{event, std::move(fields)};
+  if (MayWrite(event)) {
+    Push({event, std::move(fields)});
+  }
+}
+
+auto LogDuty::MayWrite(Event event) -> bool {
+  auto& rate = rates_[event];
+  const auto second = SecondNow();
+  if (rate.second != second) {
+    const auto dropped = rate.dropped;
+    rate = {second, 0, 0};
+    if (dropped > 0) {
+      Push({Event::kLogLinesDropped,
+            {{"dropped_event", std::to_string(static_cast<int>(event))},
+             {"count", std::to_string(dropped)}}});
+    }
+  }
+  if (rate.written >= kLinesPerSecond) {
+    ++rate.dropped;
+    return false;
+  }
+  ++rate.written;
+  return true;
+}
+
+void LogDuty::Push(LogAction action) {
+  action.time = LogTime();
   if (!ring_.TryPush(action)) {
     ++lost_;
   }
-  waker_.Wake();
+  if (++unread_ >= kWakeAfter) {
+    unread_ = 0;
+    waker_.Wake();
+  }
 }
 
 void LogDuty::Run() {
   for (;;) {
     const auto stopping = stopping_.load();
+    std::string lines;
     LogAction action;
     while (ring_.TryPop(action)) {
-      WriteOne(action);
+      AppendLogLine(lines, action.time, LineOf(action));
     }
     if (const auto lost = lost_.exchange(0); lost > 0) {
-      WriteOne({Event::kRingFull,
-                {{"ring", "log"}, {"lost", std::to_string(lost)}}});
+      AppendLogLine(
+          lines, LogTime(),
+          LineOf({Event::kRingFull,
+                  {{"ring", "log"}, {"lost", std::to_string(lost)}}}));
     }
+    WriteLogLines(lines);
     if (stopping) {
       return;
     }
--- a/kingcuplock/runtime/socket_duty.cc
+++ b/kingcuplock/runtime/socket_duty.cc
@@ -31,8 +31,8 @@
 
 }  // namespace
 
-SocketDuty::SocketDuty(Waker& decisions)
-    : decisions_(decisions),
+SocketDuty::SocketDuty(std::function<void()> wake_decisions)
+    : wake_decisions_(std::move(wake_decisions)),
       events_(kRingSize),
       commands_(kRingSize),
       hub_({[this](ConnectionId it, std::uint16_t) {
@@ -92,7 +92,7 @@
 
 void SocketDuty::Report(NodeEvent event) {
   if (overflow_.empty() && events_.TryPush(event)) {
-    decisions_.Wake();
+    wake_decisions_();
     return;
   }
   overflow_.push_back(std::move(event));
@@ -105,7 +105,7 @@
   while (!overflow_.empty() && events_.TryPush(overflow_.front())) {
     overflow_.pop_front();
   }
-  decisions_.Wake();
+  wake_decisions_();
   if (!overflow_.empty()) {
     hub_.RunAfter(kOverflowPauseMs, [this] { RetryOverflow(); });
   }
@@ -199,7 +199,7 @@
   while (commands_.TryPop(command)) {
     Perform(command);
   }
-  decisions_.Wake();
+  wake_decisions_();
 }
 
 void SocketDuty::Perform(const SocketCommand& command) {
--- a/kingcuplock/runtime/socket_duty.h
+++ b/kingcuplock/runtime/socket_duty.h
@@ -4,7 +4,7 @@
 /// is joined to the decision thread by two bounded rings.
 ///
 /// Example:
-///   SocketDuty sockets(waker);
+///   SocketDuty sockets([&] { waker.Wake(); });
 ///   sockets.Listen(host, port);
 ///   sockets.Start();
 ///   while (sockets.TryTake(event)) { node.Handle(event); }
@@ -12,6 +12,7 @@
 #include <atomic>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <string>
 #include <thread>
 #include <unordered_map>
@@ -31,8 +32,9 @@
 /// TryGive() are for the decision thread.
 class SocketDuty {
  public:
-  /// `decisions` is woken when events arrive.
-  explicit SocketDuty(Waker& decisions);
+  /// `wake_decisions` is called, on the socket thread, when events arrived or
+  /// commands were taken.
+  explicit SocketDuty(std::function<void()> wake_decisions);
   ~SocketDuty();
   SocketDuty(const SocketDuty&) = delete;
   auto operator=(const SocketDuty&) -> SocketDuty& = delete;
@@ -85,7 +87,7 @@
   void RunCommands();
   void Perform(const SocketCommand& command);
 
-  Waker& decisions_;
+  std::function<void()> wake_decisions_;
   Ring<NodeEvent> events_;
   Ring<SocketCommand> commands_;
   std::atomic<bool> flush_pending_{false};
--- a/kingcuplock/schema/messages.cc
+++ b/kingcuplock/schema/messages.cc
@@ -387,6 +387,179 @@
   internal::ReadOptional(in, "epoch", value.epoch);
 }
 
+namespace {
+constexpr std::array<std::string_view, 3> kReadModeNames{"primary", "bounded",
+                                                         "session"};
+}  // namespace
+
+auto ToString(ReadMode value) -> std::string_view {
+  return kReadModeNames.at(static_cast<std::size_t>(value));
+}
+
+void to_json(nlohmann::json& out, ReadMode value) {
+  out = ToString(value);
+}
+
+void from_json(const nlohmann::json& in, ReadMode& value) {
+  value = static_cast<ReadMode>(internal::EnumIndex(in, kReadModeNames));
+}
+
+void to_json(nlohmann::json& out, const RouteConfig& value) {
+  out = nlohmann::json::object();
+  static const RouteConfig kDefaults;
+  out["database"] = value.database;
+  out["group"] = value.group;
+  internal::WriteOptional(out, "read_mode", value.read_mode,
+                          kDefaults.read_mode);
+  internal::WriteOptional(out, "max_age_ms", value.max_age_ms,
+                          kDefaults.max_age_ms);
+  internal::WriteOptional(out, "timeout_ms", value.timeout_ms,
+                          kDefaults.timeout_ms);
+  internal::WriteOptional(out, "target_ms", value.target_ms,
+                          kDefaults.target_ms);
+  internal::WriteOptional(out, "priority", value.priority, kDefaults.priority);
+}
+
+void from_json(const nlohmann::json& in, RouteConfig& value) {
+  internal::RequireObject(in, "RouteConfig");
+  internal::ReadRequired(in, "database", value.database);
+  internal::ReadRequired(in, "group", value.group);
+  internal::ReadOptional(in, "read_mode", value.read_mode);
+  internal::ReadOptional(in, "max_age_ms", value.max_age_ms);
+  internal::ReadOptional(in, "timeout_ms", value.timeout_ms);
+  internal::ReadOptional(in, "target_ms", value.target_ms);
+  internal::ReadOptional(in, "priority", value.priority);
+}
+
+void to_json(nlohmann::json& out, const GroupConfig& value) {
+  out = nlohmann::json::object();
+  static const GroupConfig kDefaults;
+  out["name"] = value.name;
+  internal::WriteOptional(out, "connections", value.connections,
+                          kDefaults.connections);
+  internal::WriteOptional(out, "synchronous_replicas",
+                          value.synchronous_replicas,
+                          kDefaults.synchronous_replicas);
+}
+
+void from_json(const nlohmann::json& in, GroupConfig& value) {
+  internal::RequireObject(in, "GroupConfig");
+  internal::ReadRequired(in, "name", value.name);
+  internal::ReadOptional(in, "connections", value.connections);
+  internal::ReadOptional(in, "synchronous_replicas",
+                         value.synchronous_replicas);
+}
+
+void to_json(nlohmann::json& out, const RouteTable& value) {
+  out = nlohmann::json::object();
+  static const RouteTable kDefaults;
+  out["version"] = value.version;
+  internal::WriteOptional(out, "routes", value.routes, kDefaults.routes);
+  internal::WriteOptional(out, "groups", value.groups, kDefaults.groups);
+  internal::WriteOptional(out, "transaction_idle_ms", value.transaction_idle_ms,
+                          kDefaults.transaction_idle_ms);
+}
+
+void from_json(const nlohmann::json& in, RouteTable& value) {
+  internal::RequireObject(in, "RouteTable");
+  internal::ReadRequired(in, "version", value.version);
+  internal::ReadOptional(in, "routes", value.routes);
+  internal::ReadOptional(in, "groups", value.groups);
+  internal::ReadOptional(in, "transaction_idle_ms", value.transaction_idle_ms);
+}
+
+void to_json(nlohmann::json& out, const EndpointEntry& value) {
+  out = nlohmann::json::object();
+  static const EndpointEntry kDefaults;
+  out["member"] = value.member;
+  out["group"] = value.group;
+  out["host"] = value.host;
+  out["port"] = value.port;
+  internal::WriteOptional(out, "data_centre", value.data_centre,
+                          kDefaults.data_centre);
+  internal::WriteOptional(out, "slots", value.slots, kDefaults.slots);
+  internal::WriteOptional(out, "leaving", value.leaving, kDefaults.leaving);
+  internal::WriteOptional(out, "leads", value.leads, kDefaults.leads);
+  internal::WriteOptional(out, "born_ms", value.born_ms, kDefaults.born_ms);
+}
+
+void from_json(const nlohmann::json& in, EndpointEntry& value) {
+  internal::RequireObject(in, "EndpointEntry");
+  internal::ReadRequired(in, "member", value.member);
+  internal::ReadRequired(in, "group", value.group);
+  internal::ReadRequired(in, "host", value.host);
+  internal::ReadRequired(in, "port", value.port);
+  internal::ReadOptional(in, "data_centre", value.data_centre);
+  internal::ReadOptional(in, "slots", value.slots);
+  internal::ReadOptional(in, "leaving", value.leaving);
+  internal::ReadOptional(in, "leads", value.leads);
+  internal::ReadOptional(in, "born_ms", value.born_ms);
+}
+
+void to_json(nlohmann::json& out, const RoutesWanted& value) {
+  out = nlohmann::json::object();
+  out["type"] = "routes_wanted";
+  out["instance"] = value.instance;
+}
+
+void from_json(const nlohmann::json& in, RoutesWanted& value) {
+  internal::RequireObject(in, "RoutesWanted");
+  internal::ReadRequired(in, "instance", value.instance);
+}
+
+void to_json(nlohmann::json& out, const RoutesOffer& value) {
+  out = nlohmann::json::object();
+  out["type"] = "routes_offer";
+  static const RoutesOffer kDefaults;
+  out["table"] = value.table;
+  internal::WriteOptional(out, "endpoints", value.endpoints,
+                          kDefaults.endpoints);
+}
+
+void from_json(const nlohmann::json& in, RoutesOffer& value) {
+  internal::RequireObject(in, "RoutesOffer");
+  internal::ReadRequired(in, "table", value.table);
+  internal::ReadOptional(in, "endpoints", value.endpoints);
+}
+
+namespace {
+constexpr std::array<std::string_view, 4> kReachNames{"untried", "reached",
+                                                      "refused", "silent"};
+}  // namespace
+
+auto ToString(Reach value) -> std::string_view {
+  return kReachNames.at(static_cast<std::size_t>(value));
+}
+
+void to_json(nlohmann::json& out, Reach value) {
+  out = ToString(value);
+}
+
+void from_json(const nlohmann::json& in, Reach& value) {
+  value = static_cast<Reach>(internal::EnumIndex(in, kReachNames));
+}
+
+void to_json(nlohmann::json& out, const GroupReport& value) {
+  out = nlohmann::json::object();
+  static const GroupReport kDefaults;
+  out["group"] = value.group;
+  out["primary"] = value.primary;
+  internal::WriteOptional(out, "term", value.term, kDefaults.term);
+  internal::WriteOptional(out, "pending", value.pending, kDefaults.pending);
+  internal::WriteOptional(out, "reach", value.reach, kDefaults.reach);
+  internal::WriteOptional(out, "heard_ms", value.heard_ms, kDefaults.heard_ms);
+}
+
+void from_json(const nlohmann::json& in, GroupReport& value) {
+  internal::RequireObject(in, "GroupReport");
+  internal::ReadRequired(in, "group", value.group);
+  internal::ReadRequired(in, "primary", value.primary);
+  internal::ReadOptional(in, "term", value.term);
+  internal::ReadOptional(in, "pending", value.pending);
+  internal::ReadOptional(in, "reach", value.reach);
+  internal::ReadOptional(in, "heard_ms", value.heard_ms);
+}
+
 void to_json(nlohmann::json& out, const OwnershipHint& value) {
   out = nlohmann::json::object();
   static const OwnershipHint kDefaults;
@@ -415,6 +588,11 @@
   internal::WriteOptional(out, "port", value.port, kDefaults.port);
   internal::WriteOptional(out, "leaving", value.leaving, kDefaults.leaving);
   internal::WriteOptional(out, "owned", value.owned, kDefaults.owned);
+  internal::WriteOptional(out, "routes_version", value.routes_version,
+                          kDefaults.routes_version);
+  internal::WriteOptional(out, "endpoints_known", value.endpoints_known,
+                          kDefaults.endpoints_known);
+  internal::WriteOptional(out, "groups", value.groups, kDefaults.groups);
 }
 
 void from_json(const nlohmann::json& in, Heartbeat& value) {
@@ -426,6 +604,9 @@
   internal::ReadOptional(in, "port", value.port);
   internal::ReadOptional(in, "leaving", value.leaving);
   internal::ReadOptional(in, "owned", value.owned);
+  internal::ReadOptional(in, "routes_version", value.routes_version);
+  internal::ReadOptional(in, "endpoints_known", value.endpoints_known);
+  internal::ReadOptional(in, "groups", value.groups);
 }
 
 void to_json(nlohmann::json& out, const ManifestWanted& value) {
@@ -610,8 +791,8 @@
 }
 
 namespace {
-constexpr std::array<std::string_view, 4> kStoreStatusNames{
-    "done", "conflict", "absent", "expired"};
+constexpr std::array<std::string_view, 5> kStoreStatusNames{
+    "done", "conflict", "absent", "expired", "unavailable"};
 }  // namespace
 
 auto ToString(StoreStatus value) -> std::string_view {
@@ -892,9 +1073,16 @@
   if (type == "hand_over") {
     return in.get<HandOver>();
   }
+  if (type == "routes_wanted") {
+    return in.get<RoutesWanted>();
+  }
+  if (type == "routes_offer") {
+    return in.get<RoutesOffer>();
+  }
   throw SchemaError("type",
                     "unknown frame type; send one of: forward, forward_answer, "
-                    "heartbeat, manifest_wanted, manifest_offer, hand_over");
+                    "heartbeat, manifest_wanted, manifest_offer, hand_over, "
+                    "routes_wanted, routes_offer");
 }
 
 auto ReadInboundMessage(const nlohmann::json& in) -> InboundMessage {
@@ -920,10 +1108,16 @@
   if (type == "hand_over") {
     return in.get<HandOver>();
   }
-  throw SchemaError(
-      "type",
-      "unknown frame type; send one of: request, status_query, forward, "
-      "heartbeat, manifest_wanted, manifest_offer, hand_over");
+  if (type == "routes_wanted") {
+    return in.get<RoutesWanted>();
+  }
+  if (type == "routes_offer") {
+    return in.get<RoutesOffer>();
+  }
+  throw SchemaError("type",
+                    "unknown frame type; send one of: request, status_query, "
+                    "forward, heartbeat, manifest_wanted, manifest_offer, "
+                    "hand_over, routes_wanted, routes_offer");
 }
 
 auto ReadStoreReply(const nlohmann::json& in) -> StoreReply {
--- a/kingcuplock/schema/messages.h
+++ b/kingcuplock/schema/messages.h
@@ -407,6 +407,185 @@
 /// wrong.
 void from_json(const nlohmann::json& in, ForwardAnswer& value);
 
+/// How fresh the data of a route's reads must be.
+enum class ReadMode { kPrimary, kBounded, kSession };
+
+/// Returns the name of `value` on the wire.
+auto ToString(ReadMode value) -> std::string_view;
+
+/// Writes `value` to `out` by name.
+void to_json(nlohmann::json& out, ReadMode value);
+
+/// Reads a name into `value`. Throws SchemaError for an unknown one.
+void from_json(const nlohmann::json& in, ReadMode& value);
+
+/// A database name that clients may open, and how its statements are served.
+struct RouteConfig {
+  /// Database name that a client asks for.
+  std::string database{};
+  /// Group of members that serves it.
+  std::string group{};
+  /// How fresh reads must be.
+  ReadMode read_mode{};
+  /// For bounded and session reads: age in ms that the data may have.
+  std::int64_t max_age_ms{};
+  /// Longest time in ms of one statement.
+  std::int64_t timeout_ms{1000};
+  /// Latency target in ms of one operation.
+  std::int64_t target_ms{200};
+  /// 0 is served first under load.
+  std::int64_t priority{5};
+
+  auto operator==(const RouteConfig&) const -> bool = default;
+};
+
+/// Writes `value` to `out`, leaving out members that have their default.
+void to_json(nlohmann::json& out, const RouteConfig& value);
+
+/// Reads `value`. Throws SchemaError naming the member that is missing or
+/// wrong.
+void from_json(const nlohmann::json& in, RouteConfig& value);
+
+/// Limits of one group of members.
+struct GroupConfig {
+  /// Group name.
+  std::string name{};
+  /// Connections that one member accepts from all instances together.
+  std::int64_t connections{8};
+  /// Replicas that hold a commit before it is acknowledged.
+  std::int64_t synchronous_replicas{};
+
+  auto operator==(const GroupConfig&) const -> bool = default;
+};
+
+/// Writes `value` to `out`, leaving out members that have their default.
+void to_json(nlohmann::json& out, const GroupConfig& value);
+
+/// Reads `value`. Throws SchemaError naming the member that is missing or
+/// wrong.
+void from_json(const nlohmann::json& in, GroupConfig& value);
+
+/// The operators' configuration of the gateway.
+struct RouteTable {
+  /// Raised by every change.
+  std::int64_t version{};
+  /// Routes by database name.
+  std::vector<RouteConfig> routes{};
+  /// Groups that routes name.
+  std::vector<GroupConfig> groups{};
+  /// Idle time in ms after which a transaction may be rolled back.
+  std::int64_t transaction_idle_ms{3000};
+
+  auto operator==(const RouteTable&) const -> bool = default;
+};
+
+/// Writes `value` to `out`, leaving out members that have their default.
+void to_json(nlohmann::json& out, const RouteTable& value);
+
+/// Reads `value`. Throws SchemaError naming the member that is missing or
+/// wrong.
+void from_json(const nlohmann::json& in, RouteTable& value);
+
+/// What one member registered of itself.
+struct EndpointEntry {
+  /// Member id, unique in the deployment.
+  std::string member{};
+  /// Group that it belongs to.
+  std::string group{};
+  /// IP number.
+  std::string host{};
+  /// TCP port.
+  std::int64_t port{};
+  /// Data centre.
+  std::string data_centre{};
+  /// Statements that it runs at once.
+  std::int64_t slots{1};
+  /// Whether it is about to stop.
+  bool leaving{};
+  /// Whether it sees itself as the primary.
+  bool leads{};
+  /// Unix time in ms of its start, 0 if not told.
+  std::int64_t born_ms{};
+
+  auto operator==(const EndpointEntry&) const -> bool = default;
+};
+
+/// Writes `value` to `out`, leaving out members that have their default.
+void to_json(nlohmann::json& out, const EndpointEntry& value);
+
+/// Reads `value`. Throws SchemaError naming the member that is missing or
+/// wrong.
+void from_json(const nlohmann::json& in, EndpointEntry& value);
+
+/// Asks a peer for its route table and endpoints.
+struct RoutesWanted {
+  /// Sender.
+  std::string instance{};
+
+  auto operator==(const RoutesWanted&) const -> bool = default;
+};
+
+/// Writes `value` to `out`, leaving out members that have their default.
+void to_json(nlohmann::json& out, const RoutesWanted& value);
+
+/// Reads `value`. Throws SchemaError naming the member that is missing or
+/// wrong.
+void from_json(const nlohmann::json& in, RoutesWanted& value);
+
+/// Route table and endpoints passed on between peers.
+struct RoutesOffer {
+  /// Route table in force at the sender.
+  RouteTable table{};
+  /// Endpoints known to the sender.
+  std::vector<EndpointEntry> endpoints{};
+
+  auto operator==(const RoutesOffer&) const -> bool = default;
+};
+
+/// Writes `value` to `out`, leaving out members that have their default.
+void to_json(nlohmann::json& out, const RoutesOffer& value);
+
+/// Reads `value`. Throws SchemaError naming the member that is missing or
+/// wrong.
+void from_json(const nlohmann::json& in, RoutesOffer& value);
+
+/// What an instance last learnt when it opened connections to a member.
+enum class Reach { kUntried, kReached, kRefused, kSilent };
+
+/// Returns the name of `value` on the wire.
+auto ToString(Reach value) -> std::string_view;
+
+/// Writes `value` to `out` by name.
+void to_json(nlohmann::json& out, Reach value);
+
+/// Reads a name into `value`. Throws SchemaError for an unknown one.
+void from_json(const nlohmann::json& in, Reach& value);
+
+/// What the sender of a heartbeat knows of a group's primary.
+struct GroupReport {
+  /// Group.
+  std::string group{};
+  /// Member that leads, or is about to.
+  std::string primary{};
+  /// Term in which it leads.
+  std::int64_t term{};
+  /// Whether its promotion was ordered and it has not led yet.
+  bool pending{};
+  /// Whether the sender reaches it.
+  Reach reach{};
+  /// Time in ms since the sender last had an answer from it, -1 for never.
+  std::int64_t heard_ms{};
+
+  auto operator==(const GroupReport&) const -> bool = default;
+};
+
+/// Writes `value` to `out`, leaving out members that have their default.
+void to_json(nlohmann::json& out, const GroupReport& value);
+
+/// Reads `value`. Throws SchemaError naming the member that is missing or
+/// wrong.
+void from_json(const nlohmann::json& in, GroupReport& value);
+
 /// Who owns a database, as far as the sender knows.
 struct OwnershipHint {
   /// Database name.
@@ -442,6 +621,12 @@
   bool leaving{};
   /// Databases that the sender owns.
   std::vector<OwnershipHint> owned{};
+  /// Route table version in force at the sender.
+  std::int64_t routes_version{};
+  /// Number of endpoints known to the sender.
+  std::int64_t endpoints_known{};
+  /// Primaries as the sender knows them.
+  std::vector<GroupReport> groups{};
 
   auto operator==(const Heartbeat&) const -> bool = default;
 };
@@ -655,7 +840,7 @@
 void from_json(const nlohmann::json& in, StoreOp& value);
 
 /// Outcome at the key-value service.
-enum class StoreStatus { kDone, kConflict, kAbsent, kExpired };
+enum class StoreStatus { kDone, kConflict, kAbsent, kExpired, kUnavailable };
 
 /// Returns the name of `value` on the wire.
 auto ToString(StoreStatus value) -> std::string_view;
@@ -946,7 +1131,9 @@
                                  Heartbeat,
                                  ManifestWanted,
                                  ManifestOffer,
-                                 HandOver>;
+                                 HandOver,
+                                 RoutesWanted,
+                                 RoutesOffer>;
 
 /// Reads the alternative that `in["type"]` names. Throws SchemaError for any
 /// other.
@@ -959,7 +1146,9 @@
                                     Heartbeat,
                                     ManifestWanted,
                                     ManifestOffer,
-                                    HandOver>;
+                                    HandOver,
+                                    RoutesWanted,
+                                    RoutesOffer>;
 
 /// Reads the alternative that `in["type"]` names. Throws SchemaError for any
 /// other.
--- a/kingcuplock/schema/settings.cc
+++ b/kingcuplock/schema/settings.cc
@@ -69,6 +69,39 @@
   internal::ReadOptional(in, "drain_ms", value.drain_ms);
 }
 
+void to_json(nlohmann::json& out, const GatewaySettings& value) {
+  out = nlohmann::json::object();
+  static const GatewaySettings kDefaults;
+  out["instance"] = value.instance;
+  internal::WriteOptional(out, "data_centre", value.data_centre,
+                          kDefaults.data_centre);
+  out["listen"] = value.listen;
+  out["ready"] = value.ready;
+  out["peer_listen"] = value.peer_listen;
+  out["metrics_listen"] = value.metrics_listen;
+  out["store"] = value.store;
+  out["promotion"] = value.promotion;
+  internal::WriteOptional(out, "stop_ms", value.stop_ms, kDefaults.stop_ms);
+  internal::WriteOptional(out, "leaving_ms", value.leaving_ms,
+                          kDefaults.leaving_ms);
+  internal::WriteOptional(out, "timing", value.timing, kDefaults.timing);
+}
+
+void from_json(const nlohmann::json& in, GatewaySettings& value) {
+  internal::RequireObject(in, "GatewaySettings");
+  internal::ReadRequired(in, "instance", value.instance);
+  internal::ReadOptional(in, "data_centre", value.data_centre);
+  internal::ReadRequired(in, "listen", value.listen);
+  internal::ReadRequired(in, "ready", value.ready);
+  internal::ReadRequired(in, "peer_listen", value.peer_listen);
+  internal::ReadRequired(in, "metrics_listen", value.metrics_listen);
+  internal::ReadRequired(in, "store", value.store);
+  internal::ReadRequired(in, "promotion", value.promotion);
+  internal::ReadOptional(in, "stop_ms", value.stop_ms);
+  internal::ReadOptional(in, "leaving_ms", value.leaving_ms);
+  internal::ReadOptional(in, "timing", value.timing);
+}
+
 void to_json(nlohmann::json& out, const ProxySettings& value) {
   out = nlohmann::json::object();
   static const ProxySettings kDefaults;
@@ -94,6 +127,6 @@
 }
 
 const std::string_view kSettingsSchema =
-    R"json({"$schema":"http://json-schema.org/draft-07/schema#","title":"Settings of one kingcuplock-proxy","allOf":[{"$ref":"#/$defs/ProxySettings"}],"$defs":{"Address":{"description":"TCP address by IP number.","type":"object","required":["host","port"],"additionalProperties":false,"properties":{"host":{"type":"string","minLength":1,"description":"IP number."},"port":{"type":"integer","minimum":1,"maximum":65535,"description":"TCP port."}}},"PeerAddress":{"description":"Address of another instance, used until the platform's list is known.","type":"object","required":["name","host","port"],"additionalProperties":false,"properties":{"name":{"type":"string","minLength":1,"description":"Instance name."},"host":{"type":"string","minLength":1,"description":"IP number."},"port":{"type":"integer","minimum":1,"maximum":65535,"description":"TCP port."}}},"TimingSettings":{"description":"Timings of one instance. Every instance of a deployment has the same.","type":"object","required":[],"additionalProperties":false,"properties":{"lease_ttl_ms":{"type":"integer","minimum":500,"default":2000,"description":"Time to live of the lease in ms."},"lease_renew_ms":{"type":"integer","minimum":50,"default":500,"description":"Interval between renewals in ms."},"lease_margin_ms":{"type":"integer","minimum":10,"default":200,"description":"Time in ms taken off the lease for clock drift."},"heartbeat_ms":{"type":"integer","minimum":20,"default":200,"description":"Interval between heartbeats on a peer link in ms."},"peer_timeout_ms":{"type":"integer","minimum":50,"default":1000,"description":"Silence in ms after which a peer link is replaced."},"probe_ms":{"type":"integer","minimum":10,"default":50,"description":"Interval between samples of a member in ms."},"probe_timeout_ms":{"type":"integer","minimum":20,"default":150,"description":"Time in ms after which a probe counts as unanswered."},"takeover_step_ms":{"type":"integer","minimum":10,"default":300,"description":"Delay in ms per place in the order of succession."},"store_timeout_ms":{"type":"integer","minimum":50,"default":1500,"description":"Time in ms after which a store call counts as lost."},"drain_ms":{"type":"integer","minimum":100,"default":10000,"description":"Longest time in ms of a planned stop."}}},"ProxySettings":{"description":"Settings of one instance.","type":"object","required":["instance","deployment","listen","store"],"additionalProperties":false,"properties":{"instance":{"type":"string","minLength":1,"description":"Own name, unique in the deployment."},"deployment":{"type":"string","minLength":1,"description":"Deployment name; prefix of the keys in the store."},"data_centre":{"type":"string","description":"Own data centre."},"listen":{"$ref":"#/$defs/Address","description":"Own address, for callers and peers."},"store":{"$ref":"#/$defs/Address","description":"Address of the platform's key-value service."},"peers":{"type":"array","items":{"$ref":"#/$defs/PeerAddress"},"description":"Other instances."},"timing":{"$ref":"#/$defs/TimingSettings","description":"Timings."}}}}})json";
+    R"json({"$schema":"http://json-schema.org/draft-07/schema#","title":"Settings of one kingcuplock-proxy","allOf":[{"$ref":"#/$defs/ProxySettings"}],"$defs":{"Address":{"description":"TCP address by IP number.","type":"object","required":["host","port"],"additionalProperties":false,"properties":{"host":{"type":"string","minLength":1,"description":"IP number."},"port":{"type":"integer","minimum":1,"maximum":65535,"description":"TCP port."}}},"PeerAddress":{"description":"Address of another instance, used until the platform's list is known.","type":"object","required":["name","host","port"],"additionalProperties":false,"properties":{"name":{"type":"string","minLength":1,"description":"Instance name."},"host":{"type":"string","minLength":1,"description":"IP number."},"port":{"type":"integer","minimum":1,"maximum":65535,"description":"TCP port."}}},"TimingSettings":{"description":"Timings of one instance. Every instance of a deployment has the same.","type":"object","required":[],"additionalProperties":false,"properties":{"lease_ttl_ms":{"type":"integer","minimum":500,"default":2000,"description":"Time to live of the lease in ms."},"lease_renew_ms":{"type":"integer","minimum":50,"default":500,"description":"Interval between renewals in ms."},"lease_margin_ms":{"type":"integer","minimum":10,"default":200,"description":"Time in ms taken off the lease for clock drift."},"heartbeat_ms":{"type":"integer","minimum":20,"default":200,"description":"Interval between heartbeats on a peer link in ms."},"peer_timeout_ms":{"type":"integer","minimum":50,"default":1000,"description":"Silence in ms after which a peer link is replaced."},"probe_ms":{"type":"integer","minimum":10,"default":50,"description":"Interval between samples of a member in ms."},"probe_timeout_ms":{"type":"integer","minimum":20,"default":150,"description":"Time in ms after which a probe counts as unanswered."},"takeover_step_ms":{"type":"integer","minimum":10,"default":300,"description":"Delay in ms per place in the order of succession."},"store_timeout_ms":{"type":"integer","minimum":50,"default":1500,"description":"Time in ms after which a store call counts as lost."},"drain_ms":{"type":"integer","minimum":100,"default":10000,"description":"Longest time in ms of a planned stop."}}},"GatewaySettings":{"description":"Settings of one kingcuplock-gateway.","type":"object","required":["instance","listen","ready","peer_listen","metrics_listen","store","promotion"],"additionalProperties":false,"properties":{"instance":{"type":"string","minLength":1,"description":"Own name, unique in the deployment."},"data_centre":{"type":"string","description":"Own data centre."},"listen":{"$ref":"#/$defs/Address","description":"Own address for clients."},"ready":{"$ref":"#/$defs/Address","description":"Own address for the readiness probe."},"peer_listen":{"$ref":"#/$defs/Address","description":"Own address for peers."},"metrics_listen":{"$ref":"#/$defs/Address","description":"Own address for metrics."},"store":{"$ref":"#/$defs/Address","description":"Address of the platform's key-value service."},"promotion":{"$ref":"#/$defs/Address","description":"Address of the service that carries promotions out."},"stop_ms":{"type":"integer","minimum":1000,"default":6000,"description":"Time in ms from SIGTERM to SIGKILL."},"leaving_ms":{"type":"integer","minimum":100,"default":7000,"description":"Time in ms after which a leaving member gets no new work."},"timing":{"$ref":"#/$defs/TimingSettings","description":"Timings."}}},"ProxySettings":{"description":"Settings of one instance.","type":"object","required":["instance","deployment","listen","store"],"additionalProperties":false,"properties":{"instance":{"type":"string","minLength":1,"description":"Own name, unique in the deployment."},"deployment":{"type":"string","minLength":1,"description":"Deployment name; prefix of the keys in the store."},"data_centre":{"type":"string","description":"Own data centre."},"listen":{"$ref":"#/$defs/Address","description":"Own address, for callers and peers."},"store":{"$ref":"#/$defs/Address","description":"Address of the platform's key-value service."},"peers":{"type":"array","items":{"$ref":"#/$defs/PeerAddress"},"description":"Other instances."},"timing":{"$ref":"#/$defs/TimingSettings","description":"Timings."}}}}})json";
 
 }  // namespace kingcuplock
--- a/kingcuplock/schema/settings.h
+++ b/kingcuplock/schema/settings.h
@@ -86,6 +86,41 @@
 /// wrong.
 void from_json(const nlohmann::json& in, TimingSettings& value);
 
+/// Settings of one kingcuplock-gateway.
+struct GatewaySettings {
+  /// Own name, unique in the deployment.
+  std::string instance{};
+  /// Own data centre.
+  std::string data_centre{};
+  /// Own address for clients.
+  Address listen{};
+  /// Own address for the readiness probe.
+  Address ready{};
+  /// Own address for peers.
+  Address peer_listen{};
+  /// Own address for metrics.
+  Address metrics_listen{};
+  /// Address of the platform's key-value service.
+  Address store{};
+  /// Address of the service that carries promotions out.
+  Address promotion{};
+  /// Time in ms from SIGTERM to SIGKILL.
+  std::int64_t stop_ms{6000};
+  /// Time in ms after which a leaving member gets no new work.
+  std::int64_t leaving_ms{7000};
+  /// Timings.
+  TimingSettings timing{};
+
+  auto operator==(const GatewaySettings&) const -> bool = default;
+};
+
+/// Writes `value` to `out`, leaving out members that have their default.
+void to_json(nlohmann::json& out, const GatewaySettings& value);
+
+/// Reads `value`. Throws SchemaError naming the member that is missing or
+/// wrong.
+void from_json(const nlohmann::json& in, GatewaySettings& value);
+
 /// Settings of one instance.
 struct ProxySettings {
   /// Own name, unique in the deployment.
--- /dev/null
+++ b/kingcuplock/statement/session_state.cc
@@ -0,0 +1,62 @@
+#include "kingcuplock/statement/session_state.h"
+
+#include <algorithm>
+
+namespace kingcuplock {
+
+// A value that the session does not have can only be taken away by a reset.
+auto LinkState::NeedsReset(const SessionState& session,
+                           const PreparedStatement* prepared) const -> bool {
+  const auto foreign = std::any_of(
+      values_.begin(), values_.end(),
+      [&](const auto& it) { return !session.values.contains(it.first); });
+  const auto full = prepared != nullptr && !prepared_.contains(*prepared) &&
+                    prepared_.size() >= kMaxPrepared;
+  return foreign || full;
+}
+
+auto LinkState::ReplayCost(const SessionState& session,
+                           const PreparedStatement* prepared) const -> int {
+  const auto reset = NeedsReset(session, prepared);
+  auto cost = reset ? 1 : 0;
+  for (const auto& [name, value] : session.values) {
+    const auto it = values_.find(name);
+    cost += reset || it == values_.end() || it->second != value ? 1 : 0;
+  }
+  if (prepared != nullptr) {
+    cost += reset || !prepared_.contains(*prepared) ? 1 : 0;
+  }
+  return cost;
+}
+
+auto LinkState::Replay(const SessionState& session,
+                       const PreparedStatement* prepared,
+                       std::vector<SessionStatement>& out) -> std::string {
+  if (NeedsReset(session, prepared)) {
+    out.push_back({.kind = StatementKind::kReset});
+    values_.clear();
+    prepared_.clear();
+  }
+  for (const auto& [name, value] : session.values) {
+    const auto it = values_.find(name);
+    if (it == values_.end() || it->second != value) {
+      out.push_back(
+          {.kind = StatementKind::kSetValue, .name = name, .arguments = value});
+      values_[name] = value;
+    }
+  }
+  if (prepared == nullptr) {
+    return {};
+  }
+  auto& name = prepared_[*prepared];
+  if (name.empty()) {
+    name = "p" + std::to_string(++last_name_);
+    out.push_back({.kind = StatementKind::kPrepare,
+                   .name = name,
+                   .arguments = prepared->shape,
+                   .prepares_write = prepared->writes});
+  }
+  return name;
+}
+
+}  // namespace kingcuplock
--- a/kingcuplock/store_client/store_client.cc
+++ b/kingcuplock/store_client/store_client.cc
@@ -9,6 +9,9 @@
 constexpr int kReconnectMs = 100;
 /// Longest time in ms to open a connection.
 constexpr int kConnectTimeoutMs = 500;
+/// Pause in ms before a call that the service turned away is reported, so that
+/// callers that repeat it at once don't press an overloaded service.
+constexpr Milliseconds kTurnedAwayPause{200};
 
 }  // namespace
 
@@ -130,9 +133,16 @@
   if (connection != connection_) {
     return false;
   }
-  SetReachable(true);
   last_heard_ = timers_.Now();
-  if (const auto* answer = std::get_if<StoreAnswer>(&reply)) {
+  const auto* answer = std::get_if<StoreAnswer>(&reply);
+  const auto turned_away =
+      answer != nullptr && answer->status == StoreStatus::kUnavailable;
+  SetReachable(!turned_away);
+  if (turned_away) {
+    OnTurnedAway(answer->id);
+    return true;
+  }
+  if (answer != nullptr) {
     OnAnswer(*answer);
     return true;
   }
@@ -154,6 +164,17 @@
   node.mapped().callback(&answer);
 }
 
+void StoreClient::OnTurnedAway(std::int64_t id) {
+  auto node = calls_.extract(id);
+  if (node.empty()) {
+    return;
+  }
+  timers_.Cancel(node.mapped().timer);
+  timers_.After(kTurnedAwayPause, [callback = node.mapped().callback] {
+    callback(nullptr);
+  });
+}
+
 void StoreClient::Fail(std::int64_t id) {
   SetReachable(false);
   auto node = calls_.extract(id);
--- a/kingcuplock/store_client/store_client.h
+++ b/kingcuplock/store_client/store_client.h
@@ -73,6 +73,7 @@
   void OnWatchAnswer(std::size_t index, const StoreAnswer* answer);
   void Notify(WatchEntry& watch, const StoreItem& item, bool deleted);
   void OnAnswer(const StoreAnswer& answer);
+  void OnTurnedAway(std::int64_t id);
   void Fail(std::int64_t id);
   void ReplaceIfSilent();
   void SetReachable(bool reachable);
--- a/programs/proxy/main.cc
+++ b/programs/proxy/main.cc
@@ -68,8 +68,8 @@
 void Serve(const ProxySettings& settings) {
   Waker waker;
   LogDuty log;
-  SocketDuty sockets(waker);
-  SocketDuty store(waker);
+  SocketDuty sockets([&waker] { waker.Wake(); });
+  SocketDuty store([&waker] { waker.Wake(); });
   sockets.Listen(settings.listen.host,
                  static_cast<std::uint16_t>(settings.listen.port));
   sockets.ReportTermination();
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -50,7 +50,7 @@
     # Processes.
 
     def start(self, program, *arguments):
-        process = subprocess.Popen([self.build / program, *map(str, arguments)], stderr=self.log)
+        process = subprocess.Popen([self.build / program, *map(str, arguments)], stdout=self.log, stderr=self.log)
         self.started.append(process)
         return process
 
