--- a/kingcuplock/admission/admission_queue.h
+++ b/kingcuplock/admission/admission_queue.h
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <deque>
+#include <iterator>
 #include <list>
 #include <map>
 #include <optional>
@@ -100,6 +101,31 @@
     return false;
   }
 
+  /// Removes and returns the items whose deadline is before `time`. O(n).
+  auto TakeDueBefore(Time time) -> std::vector<Entry> {
+    std::vector<Entry> due;
+    const auto take = [&](std::deque<Entry>& entries) {
+      const auto first = std::stable_partition(
+          entries.begin(), entries.end(),
+          [&](const auto& it) { return it.deadline >= time; });
+      std::move(first, entries.end(), std::back_inserter(due));
+      const auto n = static_cast<std::size_t>(entries.end() - first);
+      entries.erase(first, entries.end());
+      size_ -= n;
+      return n;
+    };
+    take(front_);
+    for (auto& [priority, lane] : lanes_) {
+      const std::vector<std::uint64_t> callers(lane.order.begin(),
+                                               lane.order.end());
+      for (const auto caller : callers) {
+        lane.size -= take(lane.callers.at(caller));
+        DropIfEmpty(lane, caller);
+      }
+    }
+    return due;
+  }
+
   /// Removes all items.
   void Clear() {
     front_.clear();
--- a/kingcuplock/base/life_guard.h
+++ b/kingcuplock/base/life_guard.h
@@ -17,6 +17,9 @@
   LifeGuard(const LifeGuard&) = delete;
   auto operator=(const LifeGuard&) -> LifeGuard& = delete;
 
+  /// Makes every callable handed out harmless from now on.
+  auto Release() -> void { token_.reset(); }
+
   /// Returns a callable that calls `callback` while this guard lives and does
   /// nothing afterwards.
   template <typename Callback>
--- a/kingcuplock/gateway/group.cc
+++ b/kingcuplock/gateway/group.cc
@@ -14,6 +14,10 @@
 /// Time in ms assumed from an order until the member leads, before one was
 /// measured.
 constexpr Milliseconds kFirstPromotionTime{1000};
+/// Part of the route's timeout for which a task may wait without being sent to
+/// a member. Clients give up earlier than the timeout, and one that is refused
+/// early can still come back in time.
+constexpr int kOfferDivisor = 2;
 /// Part of the latency target after which a read without an answer is sent to
 /// another member as well.
 constexpr int kHedgeDivisor = 2;
@@ -224,9 +228,10 @@
 
 auto Group::Submit(const TaskPtr& task) -> void {
   retries_.NoteRequest();
+  const auto patience = (task->deadline - timers_.Now()) / kOfferDivisor;
+  task->offer_by = timers_.Now() + patience;
   task->deadline_timer =
-      timers_.After(task->deadline - timers_.Now(),
-                    guard_.Bind([this, task] { OnDeadline(task); }));
+      timers_.After(patience, guard_.Bind([this, task] { OnOfferBy(task); }));
   const auto may_hedge =
       task->opening == Opening::kNone && task->access != Access::kWrite;
   if (may_hedge) {
@@ -251,20 +256,25 @@
   if (task->done) {
     return;
   }
-  if (task->access == Access::kReplicaRead && PickFloor(task)) {
+  if (task->access != Access::kReplicaRead) {
+    DispatchToPrimary(task);
+  } else if (PickFloor(task)) {
     DispatchRead(task);
+  } else if (const auto back = ExpectedReturn();
+             back && *back > task->offer_by) {
+    Refuse(task, "no primary tells how fresh replicas are");
   } else {
-    DispatchToPrimary(task);
+    Enqueue(read_queue_, task);
   }
 }
 
-// Returns false, and turns the read into one at the primary, when no sample of
-// the primary is young enough to say what a replica must have.
+// Returns false when no sample of the primary is young enough to say what a
+// replica must have, and asks for one.
 auto Group::PickFloor(const TaskPtr& task) -> bool {
   const auto not_before = task->arrived - Milliseconds(task->route.max_age_ms);
   const auto floor = ages_.FloorSince(not_before);
   if (!floor) {
-    task->access = Access::kPrimaryRead;
+    AskForSample();
     return false;
   }
   task->floor = task->seen ? std::max(*floor, *task->seen) : *floor;
@@ -323,8 +333,8 @@
     return;
   }
   const auto back = ExpectedReturn();
-  if (back && *back > task->deadline) {
-    Refuse(task, "no primary before the deadline");
+  if (back && *back > task->offer_by) {
+    Refuse(task, "no primary in time");
     return;
   }
   Enqueue(QueueOf(*task), task);
@@ -354,7 +364,7 @@
 
 auto Group::Enqueue(Queue& queue, const TaskPtr& task) -> void {
   const auto shed =
-      queue.Push({task->route.priority, task->client, task->deadline, task},
+      queue.Push({task->route.priority, task->client, task->offer_by, task},
                  timers_.Now());
   for (const auto& it : shed) {
     Refuse(it.item, "the queue is longer than the deadline");
@@ -412,8 +422,11 @@
       continue;
     }
     const auto task = next->item;
-    const auto order =
-        PickFloor(task) ? ReadOrder(*task) : std::vector<std::string>{};
+    if (!PickFloor(task)) {
+      read_queue_.PushFront(std::move(*next));
+      break;
+    }
+    const auto order = ReadOrder(*task);
     const auto started = std::any_of(
         order.begin(), order.end(),
         [&](const auto& it) { return TryStart(task, members_.at(it)); });
@@ -436,9 +449,10 @@
       !retries_.TryTake()) {
     return;
   }
-  const auto reads_replica =
-      task->access == Access::kReplicaRead && PickFloor(task);
-  if (!reads_replica) {
+  if (task->access == Access::kReplicaRead && !PickFloor(task)) {
+    return;
+  }
+  if (task->access != Access::kReplicaRead) {
     auto* member = PrimaryMember();
     if (member != nullptr && MayUsePrimary()) {
       TryStart(task, *member);
--- a/kingcuplock/gateway/group.h
+++ b/kingcuplock/gateway/group.h
@@ -149,6 +149,7 @@
   // Outcomes.
   auto Finish(const TaskPtr& task, TaskResult result) -> void;
   auto Refuse(const TaskPtr& task, std::string_view why) -> void;
+  auto OnOfferBy(const TaskPtr& task) -> void;
   auto OnDeadline(const TaskPtr& task) -> void;
   auto OnSetback(const TaskPtr& task,
                  const std::string& member,
@@ -161,6 +162,8 @@
                std::string_view outcome) -> void;
 
   // Primary.
+  auto AskForSample() -> void;
+  auto RefuseHopeless() -> void;
   auto Locate() -> void;
   auto OnLocated(const std::string& member, const MemberReport& status) -> void;
   auto PrimaryChanged(std::string_view source) -> void;
@@ -191,6 +194,7 @@
   /// Time in which an ordered member began to lead, as measured.
   Duration promotion_time_;
   bool locating_ = false;
+  bool sampling_ = false;
   bool pumping_ = false;
 };
 
--- a/kingcuplock/gateway/group_outcome.cc
+++ b/kingcuplock/gateway/group_outcome.cc
@@ -20,9 +20,11 @@
 constexpr Milliseconds kTrialPause{25};
 /// Time in ms that suspecting and replacing a silent primary takes beside the
 /// promotion itself.
-constexpr Milliseconds kDetectionTime{500};
+constexpr Milliseconds kDetectionTime{400};
 /// Pause in ms between searches for the primary.
 constexpr Milliseconds kLocatePause{150};
+/// Pause in ms before the primary is asked again for a sample.
+constexpr Milliseconds kSamplePause{25};
 /// Time in ms for a member's status.
 constexpr Milliseconds kStatusTimeout{250};
 /// Time in ms after which an ordered member that does not lead is given up.
@@ -99,12 +101,25 @@
   Finish(task, std::move(result));
 }
 
+auto Group::OnOfferBy(const TaskPtr& task) -> void {
+  if (task->done) {
+    return;
+  }
+  if (!task->offered && task->running == 0) {
+    Refuse(task, "no member could take it in time");
+    return;
+  }
+  task->deadline_timer =
+      timers_.After(task->deadline - timers_.Now(),
+                    guard_.Bind([this, task] { OnDeadline(task); }));
+}
+
 auto Group::OnDeadline(const TaskPtr& task) -> void {
   if (task->done) {
     return;
   }
   if (task->running == 0) {
-    Refuse(task, "no member could take it before the deadline");
+    Refuse(task, "no member could take it in time");
     return;
   }
   const auto writes = Writes(task->statement, task->prepared_ptr());
@@ -141,12 +156,12 @@
     --task->attempts;
     NoteReadOnly(member);
     const auto back = ExpectedReturn();
-    if (back && *back > task->deadline) {
-      Refuse(task, "no primary before the deadline");
+    if (back && *back > task->offer_by) {
+      Refuse(task, "no primary in time");
       return;
     }
     QueueOf(*task).PushFront(
-        {task->route.priority, task->client, task->deadline, task});
+        {task->route.priority, task->client, task->offer_by, task});
     timers_.After(Duration::zero(), guard_.Bind([this] { Pump(); }));
     return;
   }
@@ -267,7 +282,7 @@
     NoteOrdered(report.primary, report.term);
   } else if (report.reach != Reach::kRefused &&
              report.reach != Reach::kSilent &&
-             primary_.NoteLeads(report.primary, report.term)) {
+             primary_.NoteTold(report.primary, report.term)) {
     PrimaryChanged("peer");
   }
 }
@@ -288,6 +303,20 @@
     Locate();
   }
   timers_.After(Duration::zero(), guard_.Bind([this] { Pump(); }));
+  RefuseHopeless();
+}
+
+// Tasks whose time ends before a primary can be back go at once.
+auto Group::RefuseHopeless() -> void {
+  const auto back = ExpectedReturn();
+  if (!back) {
+    return;
+  }
+  for (auto* queue : {&primary_queue_, &pin_queue_}) {
+    for (const auto& it : queue->TakeDueBefore(*back)) {
+      Refuse(it.item, "no primary in time");
+    }
+  }
 }
 
 auto Group::OnReachChanged(const std::string& member, Reach reach) -> void {
@@ -296,6 +325,7 @@
                                    {"reach", std::string(ToString(reach))}});
   if (member == primary_.member()) {
     ports_.changed();
+    RefuseHopeless();
     const auto down = reach == Reach::kRefused || reach == Reach::kSilent;
     if (down && !primary_.successor().empty() && primary_.NoteLost(member)) {
       PrimaryChanged("successor takes over");
@@ -352,6 +382,28 @@
   }
 }
 
+// One question stands for all reads that wait for a floor.
+auto Group::AskForSample() -> void {
+  if (sampling_ || !primary_.IsUsable()) {
+    return;
+  }
+  sampling_ = true;
+  const auto member = primary_.member();
+  const auto sent = timers_.Now();
+  AskStatus(member, 0,
+            guard_.Bind([this, member, sent](const MemberReport* it) {
+              const auto led = it != nullptr && it->is_primary;
+              if (led) {
+                NoteLed(member, sent, it->received);
+              }
+              timers_.After(led ? Duration::zero() : Duration(kSamplePause),
+                            guard_.Bind([this] {
+                              sampling_ = false;
+                              Pump();
+                            }));
+            }));
+}
+
 auto Group::Locate() -> void {
   if (std::exchange(locating_, true)) {
     return;
--- a/kingcuplock/gateway/link_pool.cc
+++ b/kingcuplock/gateway/link_pool.cc
@@ -7,20 +7,20 @@
 namespace kingcuplock {
 namespace {
 
-/// Time in ms to open a connection; several round trips between data centres,
-/// well under the target of 800 ms for a failover.
-constexpr Milliseconds kConnectTimeout{300};
+/// Time in ms to open a connection: many round trips between data centres, and
+/// a quarter of the target of 800 ms for noticing and replacing a dead primary.
+constexpr Milliseconds kConnectTimeout{200};
 /// Silence in ms of a member with statements outstanding after which a fresh
 /// connection is tried; above the slowest ordinary statement that a full queue
 /// of a member delays.
-constexpr Milliseconds kSilence{250};
+constexpr Milliseconds kSilence{150};
 /// Interval in ms at which silence is looked for while statements run.
 constexpr Milliseconds kSilenceCheck{50};
 /// First and longest pause in ms before a failed connection is tried again.
 constexpr Milliseconds kFirstPause{30};
 constexpr Milliseconds kLongestPause{500};
 /// Pause in ms before opening again after the member refused one for its limit.
-constexpr Milliseconds kLimitPause{400};
+constexpr Milliseconds kLimitPause{250};
 /// Idle time in ms after which connections beyond the first are closed.
 constexpr Milliseconds kIdleClose{20'000};
 /// Connections that the gateway's own statements may add to the share.
@@ -263,7 +263,9 @@
   Remove(id);
   if (answer.error == StatementError::kTooManyConnections) {
     no_opening_before_ = timers_.Now() + kLimitPause;
-    return;
+    reopen_pause_ = kLimitPause;
+    // Tasks that wait ask for a connection again then.
+    timers_.After(kLimitPause, guard_.Bind([this] { ports_.freed(); }));
   }
   if (answer.error == StatementError::kWrongMember) {
     // Another process listens at this address now.
--- a/kingcuplock/gateway/link_pool.h
+++ b/kingcuplock/gateway/link_pool.h
@@ -20,6 +20,7 @@
 #include <optional>
 #include <string>
 
+#include "kingcuplock/base/life_guard.h"
 #include "kingcuplock/base/timer_service.h"
 #include "kingcuplock/gateway/gateway_outbox.h"
 #include "kingcuplock/schema/messages.h"
@@ -137,6 +138,7 @@
   TimerService& timers_;
   GatewayOutbox& out_;
   LinkPoolPorts ports_;
+  LifeGuard guard_;
   std::map<ConnectionId, Link> links_;
   std::int64_t share_ = 1;
   std::int64_t lent_ = 0;
--- a/kingcuplock/gateway/primary_view.h
+++ b/kingcuplock/gateway/primary_view.h
@@ -20,7 +20,7 @@
 /// Value type. Every Note function returns whether the view changed.
 class PrimaryView {
  public:
-  /// A member proved, or an instance told, that it leads in `term`.
+  /// A member proved that it leads in `term`.
   auto NoteLeads(std::string_view member, std::int64_t term) -> bool {
     const auto confirmed = member == member_ && (pending_ || lost_);
     const auto news = term > term_ || (term == term_ &&
@@ -31,6 +31,13 @@
     return news;
   }
 
+  /// An instance told that a member leads in `term`. A member that refused here
+  /// in that term is not taken back on hearsay.
+  auto NoteTold(std::string_view member, std::int64_t term) -> bool {
+    return !(lost_ && member == member_ && term <= term_) &&
+           NoteLeads(member, term);
+  }
+
   /// A member registered that it leads, without a term.
   auto NoteClaim(std::string_view member) -> bool {
     if (!member_.empty() && !lost_) {
--- a/kingcuplock/gateway/promotion_duty.cc
+++ b/kingcuplock/gateway/promotion_duty.cc
@@ -18,6 +18,8 @@
 constexpr Milliseconds kLostLimit{700};
 /// Pause in ms after an order that was not carried out.
 constexpr Milliseconds kRetryPause{60};
+/// Time in ms within which the same reason for not promoting is logged once.
+constexpr Milliseconds kSameReasonPause{1000};
 /// Time in ms for which a member that did not take an order is passed over.
 constexpr Milliseconds kPassOver{1000};
 /// Orders of one epoch; the fencing token is the epoch times this, plus the
@@ -275,10 +277,13 @@
 }
 
 auto PromotionDuty::Abandon(std::string_view why) -> void {
-  log_.Log(Event::kPromotionWeighed, {{"group", group_.config().name},
-                                      {"primary", group_.primary().member()},
-                                      {"reason", reason_},
-                                      {"outcome", std::string(why)}});
+  const auto repeated =
+      why == abandoned_why_ && timers_.Now() - abandoned_ < kSameReasonPause;
+  if (!repeated) {
+    abandoned_ = timers_.Now();
+    abandoned_why_ = std::string(why);
+    LogAbandoned(why);
+  }
   phase_ = Phase::kWatching;
   not_before_ = timers_.Now() + kRetryPause;
   if (std::exchange(paused_, false)) {
@@ -288,4 +293,11 @@
   }
 }
 
+auto PromotionDuty::LogAbandoned(std::string_view why) -> void {
+  log_.Log(Event::kPromotionWeighed, {{"group", group_.config().name},
+                                      {"primary", group_.primary().member()},
+                                      {"reason", reason_},
+                                      {"outcome", std::string(why)}});
+}
+
 }  // namespace kingcuplock
--- a/kingcuplock/gateway/promotion_duty.h
+++ b/kingcuplock/gateway/promotion_duty.h
@@ -79,6 +79,7 @@
   auto Choose() -> void;
   auto Order(const std::string& member) -> void;
   auto Abandon(std::string_view why) -> void;
+  auto LogAbandoned(std::string_view why) -> void;
   auto IsCandidate(const std::string& member) const -> bool;
 
   std::int64_t epoch_;
@@ -105,6 +106,8 @@
   std::string ordered_member_;
   std::int64_t ordered_term_ = 0;
   int rejections_ = 0;
+  std::string abandoned_why_;
+  Time abandoned_{};
   /// Members that did not take an order, and until when they are passed over.
   std::map<std::string, Time> passed_over_;
 };
--- a/kingcuplock/gateway/session.cc
+++ b/kingcuplock/gateway/session.cc
@@ -6,6 +6,10 @@
 namespace kingcuplock {
 namespace {
 
+/// Time in ms after which a statement of a transaction counts as lost; above
+/// the slowest ordinary statement that a full queue of a member delays.
+constexpr Milliseconds kLeastStatementPatience{250};
+
 auto IsLocal(StatementKind kind) -> bool {
   switch (kind) {
     case StatementKind::kCommit:
@@ -34,6 +38,8 @@
       log_(log) {}
 
 Session::~Session() {
+  // Answers that end below are nobody's any more.
+  guard_.Release();
   timers_.Cancel(idle_timer_);
   timers_.Cancel(pinned_deadline_);
   if (task_) {
@@ -296,8 +302,17 @@
     statement.name = name;
   }
   pinned_sent_ = timers_.Now();
-  pinned_deadline_ = timers_.After(Milliseconds(route_.timeout_ms),
-                                   guard_.Bind([this] { OnPinnedDeadline(); }));
+  // A transaction whose statement got lost can start again if it is rolled
+  // back soon; a commit can only be waited for.
+  const auto patience =
+      statement.kind == StatementKind::kCommit
+          ? Duration(Milliseconds(route_.timeout_ms))
+          : std::min<Duration>(
+                Milliseconds(route_.timeout_ms),
+                std::max<Duration>(Milliseconds(route_.target_ms),
+                                   kLeastStatementPatience));
+  pinned_deadline_ =
+      timers_.After(patience, guard_.Bind([this] { OnPinnedDeadline(); }));
   pinned_.pool->Run(
       pinned_.link, std::move(statement),
       guard_.Bind([this](const StatementAnswer* it) { OnPinnedAnswer(it); }));
@@ -310,8 +325,26 @@
   }
 }
 
+auto Session::LogPinned(const StatementAnswer* answer) -> void {
+  const auto ok = answer != nullptr && answer->IsOk();
+  log_.Log(
+      ok ? Event::kStatementServed : Event::kStatementFailed,
+      {{"request", current_.id},
+       {"client", std::to_string(client_)},
+       {"group", route_.group},
+       {"member", pinned_.pool->entry().member},
+       {"kind", std::string(ToString(current_.kind))},
+       {"outcome",
+        answer == nullptr ? "link_lost" : std::string(ToString(answer->error))},
+       {"transaction", begin_id_},
+       {"age_ms", std::to_string(std::chrono::duration_cast<Milliseconds>(
+                                     timers_.Now() - pinned_sent_)
+                                     .count())}});
+}
+
 auto Session::OnPinnedAnswer(const StatementAnswer* answer) -> void {
   timers_.Cancel(std::exchange(pinned_deadline_, 0));
+  LogPinned(answer);
   const auto commits = current_.kind == StatementKind::kCommit;
   if (answer == nullptr) {
     pinned_ = {};
--- a/kingcuplock/gateway/session.h
+++ b/kingcuplock/gateway/session.h
@@ -81,6 +81,7 @@
   auto OnTaskDone(TaskResult result) -> void;
   auto RunPinned(SessionStatement statement,
                  std::optional<PreparedStatement> prepared) -> void;
+  auto LogPinned(const StatementAnswer* answer) -> void;
   auto OnPinnedAnswer(const StatementAnswer* answer) -> void;
   auto OnPinnedDeadline() -> void;
   auto EndPinned(bool clean) -> void;
