--- a/kingcuplock/gateway/link_pool.cc
+++ b/kingcuplock/gateway/link_pool.cc
@@ -19,6 +19,8 @@
 /// First and longest pause in ms before a failed connection is tried again.
 constexpr Milliseconds kFirstPause{30};
 constexpr Milliseconds kLongestPause{500};
+/// Time in ms for a member's greeting; it waits for a slot there.
+constexpr Milliseconds kGreetingPatience{2000};
 /// Pause in ms before opening again after the member refused one for its limit.
 constexpr Milliseconds kLimitPause{250};
 /// Idle time in ms after which connections beyond the first are closed.
@@ -129,13 +131,15 @@
 
 auto LinkPool::Run(ConnectionId id,
                    SessionStatement statement,
-                   LinkCallback callback) -> void {
+                   LinkCallback callback,
+                   Duration patience) -> void {
   const auto it = links_.find(id);
   if (it == links_.end()) {
     callback(nullptr);
     return;
   }
-  it->second.pending.push_back({std::move(callback), timers_.Now()});
+  const auto now = timers_.Now();
+  it->second.pending.push_back({std::move(callback), now, now + patience});
   out_.Add(SendStatement{id, std::move(statement)});
   WatchSilence();
 }
@@ -211,8 +215,11 @@
     return false;
   }
   it->second.state = State::kGreeting;
-  it->second.pending.push_back({[](const StatementAnswer*) {}, timers_.Now()});
+  const auto now = timers_.Now();
+  it->second.pending.push_back(
+      {[](const StatementAnswer*) {}, now, now + kGreetingPatience});
   out_.Add(GreetMember{id, entry_.group, entry_.member});
+  WatchSilence();
   reopen_pause_ = Duration::zero();
   MarkReach(Reach::kReached);
   return true;
@@ -345,8 +352,22 @@
   }
 }
 
+auto LinkPool::DiscardOverdue() -> void {
+  std::vector<ConnectionId> overdue;
+  for (const auto& [id, link] : links_) {
+    if (!link.pending.empty() &&
+        link.pending.front().lost_at <= timers_.Now()) {
+      overdue.push_back(id);
+    }
+  }
+  for (const auto id : overdue) {
+    Discard(id);
+  }
+}
+
 auto LinkPool::CheckSilence() -> void {
   silence_timer_ = 0;
+  DiscardOverdue();
   const auto oldest = OldestUnanswered();
   if (!oldest) {
     return;
--- a/kingcuplock/gateway/link_pool.h
+++ b/kingcuplock/gateway/link_pool.h
@@ -78,9 +78,15 @@
              const SessionState& session,
              const PreparedStatement* prepared) -> std::string;
 
-  /// Sends a statement on a lent connection. Answers come in order.
-  auto Run(ConnectionId link, SessionStatement statement, LinkCallback callback)
-      -> void;
+  /// Time in ms for the answers to the gateway's own statements.
+  static constexpr Milliseconds kOwnPatience{1000};
+
+  /// Sends a statement on a lent connection. Answers come in order. One that
+  /// has not come after `patience` is lost, and the connection is closed.
+  auto Run(ConnectionId link,
+           SessionStatement statement,
+           LinkCallback callback,
+           Duration patience = kOwnPatience) -> void;
 
   /// Takes a connection back once its answers are in.
   auto Release(ConnectionId link) -> void;
@@ -113,6 +119,7 @@
   struct Pending {
     LinkCallback callback;
     Time sent{};
+    Time lost_at{};
   };
   struct Link {
     State state = State::kOpening;
@@ -132,6 +139,7 @@
   auto CloseSurplus() -> void;
   auto WatchSilence() -> void;
   auto CheckSilence() -> void;
+  auto DiscardOverdue() -> void;
   auto OldestUnanswered() const -> std::optional<Time>;
 
   EndpointEntry entry_;
--- a/kingcuplock/gateway/session.cc
+++ b/kingcuplock/gateway/session.cc
@@ -315,7 +315,8 @@
       timers_.After(patience, guard_.Bind([this] { OnPinnedDeadline(); }));
   pinned_.pool->Run(
       pinned_.link, std::move(statement),
-      guard_.Bind([this](const StatementAnswer* it) { OnPinnedAnswer(it); }));
+      guard_.Bind([this](const StatementAnswer* it) { OnPinnedAnswer(it); }),
+      2 * Duration(Milliseconds(route_.timeout_ms)));
 }
 
 auto Session::OnPinnedDeadline() -> void {
--- a/kingcuplock/gateway/task_runner.cc
+++ b/kingcuplock/gateway/task_runner.cc
@@ -94,10 +94,12 @@
   begin.id = same_text ? task.begin_id : "";
   begin.after = read_only ? attempt->floor : std::nullopt;
   attempt->sent = timers_.Now();
-  attempt->pool->Run(attempt->link, std::move(begin),
-                     [this, attempt](const StatementAnswer* answer) {
-                       OnBegun(attempt, answer);
-                     });
+  attempt->pool->Run(
+      attempt->link, std::move(begin),
+      [this, attempt](const StatementAnswer* answer) {
+        OnBegun(attempt, answer);
+      },
+      Milliseconds(task.route.timeout_ms));
 }
 
 auto TaskRunner::OnBegun(const AttemptPtr& attempt,
@@ -138,10 +140,12 @@
   task.offered = true;
   attempt->sent = timers_.Now();
   const auto alone = task.opening == Opening::kNone;
-  attempt->pool->Run(attempt->link, std::move(statement),
-                     [this, attempt](const StatementAnswer* answer) {
-                       OnMain(attempt, answer);
-                     });
+  attempt->pool->Run(
+      attempt->link, std::move(statement),
+      [this, attempt](const StatementAnswer* answer) {
+        OnMain(attempt, answer);
+      },
+      Milliseconds(task.route.timeout_ms));
   if (alone && attempt->begun) {
     RollBackAndRelease(attempt->pool, attempt->link, "");
   } else if (alone) {
