A member that is yet to lead cannot tell that a position was cut off

Ruled out: samples taken from an earlier primary. Only a member that leads a later term drops positions of earlier ones. Connection shares follow need: 60% guaranteed, the rest while the member has room.

--- a/kingcuplock/gateway/group.cc
+++ b/kingcuplock/gateway/group.cc
@@ -6,6 +6,12 @@
 namespace kingcuplock {
 namespace {
 
+/// Part of a member's connections, in percent, that is dealt out to the
+/// instances; the rest is for whoever needs more, and for connections of dead
+/// instances that the member has not noticed.
+constexpr std::int64_t kSharePercent = 60;
+/// Part of a member's connections that one instance takes at most.
+constexpr std::int64_t kMostDivisor = 2;
 /// Tasks that one queue holds; far more than can be served within a deadline.
 constexpr std::size_t kQueueLimit = 256;
 /// Statements assumed to run at once per waiting queue; only the estimate of
@@ -70,9 +76,10 @@
 
 // ---------------------------------------------------------------- members
 
-auto Group::Share() const -> std::int64_t {
-  return std::max<std::int64_t>(
-      config_.connections / std::max<std::int64_t>(instances_, 1), 1);
+auto Group::SetShare(LinkPool& pool) const -> void {
+  const auto guaranteed = config_.connections * kSharePercent / 100 /
+                          std::max<std::int64_t>(instances_, 1);
+  pool.SetShare(guaranteed, config_.connections / kMostDivisor);
 }
 
 auto Group::SetConfig(const GroupConfig& config) -> void {
@@ -83,7 +90,7 @@
 auto Group::SetInstances(std::int64_t instances) -> void {
   instances_ = instances;
   for (auto& [name, member] : members_) {
-    member.pool->SetShare(Share());
+    SetShare(*member.pool);
   }
 }
 
@@ -115,7 +122,7 @@
                     guard_.Bind([this, name](Reach reach) {
                       OnReachChanged(name, reach);
                     })});
-  member.pool->SetShare(Share());
+  SetShare(*member.pool);
   member.pool->Start();
   log_.Log(Event::kEndpointFound, {{"group", config_.name},
                                    {"member", name},
--- a/kingcuplock/gateway/group_outcome.cc
+++ b/kingcuplock/gateway/group_outcome.cc
@@ -183,12 +183,13 @@
     Dispatch(task);
     return;
   }
-  // The primary's log lacks the position: a promotion cut it off.
-  if (task->seen && task->floor == task->seen) {
-    task->place_lost = true;
-    task->seen.reset();
-  } else {
-    ages_.Clear();
+  if (task->floor && primary_.HasCutOff(member, *task->floor)) {
+    if (task->seen && task->floor == task->seen) {
+      task->place_lost = true;
+      task->seen.reset();
+    } else {
+      ages_.Clear();
+    }
   }
   task->tried.clear();
   RetryLater(task, Setback::kLagging);
--- a/kingcuplock/gateway/link_pool.cc
+++ b/kingcuplock/gateway/link_pool.cc
@@ -23,8 +23,12 @@
 constexpr Milliseconds kGreetingPatience{2000};
 /// Pause in ms before opening again after the member refused one for its limit.
 constexpr Milliseconds kLimitPause{250};
-/// Idle time in ms after which connections beyond the first are closed.
-constexpr Milliseconds kIdleClose{20'000};
+/// Time in ms for which an instance keeps to its share after the member had no
+/// room for more.
+constexpr Milliseconds kShareOnly{1500};
+/// Idle time in ms after which connections beyond the first are closed: others
+/// may need the room, and those of an instance that loses power block it.
+constexpr Milliseconds kIdleClose{1500};
 /// Connections that the gateway's own statements may add to the share.
 constexpr std::int64_t kControlExtra = 1;
 
@@ -47,11 +51,16 @@
   }
 }
 
-auto LinkPool::SetShare(std::int64_t share) -> void {
+auto LinkPool::SetShare(std::int64_t share, std::int64_t most) -> void {
   share_ = std::max<std::int64_t>(share, 1);
+  most_ = std::max(most, share_);
   CloseSurplus();
 }
 
+auto LinkPool::Limit() const -> std::int64_t {
+  return timers_.Now() < share_only_until_ ? share_ : most_;
+}
+
 auto LinkPool::Start() -> void {
   if (links_.empty()) {
     OpenOne();
@@ -59,13 +68,13 @@
 }
 
 auto LinkPool::MayPin() const -> bool {
-  return pinned_ < std::max<std::int64_t>(share_ - 1, 1);
+  return pinned_ < std::max<std::int64_t>(Limit() - 1, 1);
 }
 
 auto LinkPool::MayOpen(Lending lending) const -> bool {
   const auto extra = lending == Lending::kControl ? kControlExtra : 0;
   return !retired_ && timers_.Now() >= no_opening_before_ &&
-         static_cast<std::int64_t>(links_.size()) < share_ + extra;
+         static_cast<std::int64_t>(links_.size()) < Limit() + extra;
 }
 
 auto LinkPool::HasFree(Lending lending) const -> bool {
@@ -270,6 +279,7 @@
   Remove(id);
   if (answer.error == StatementError::kTooManyConnections) {
     no_opening_before_ = timers_.Now() + kLimitPause;
+    share_only_until_ = timers_.Now() + kShareOnly;
     reopen_pause_ = kLimitPause;
     // Tasks that wait ask for a connection again then.
     timers_.After(kLimitPause, guard_.Bind([this] { ports_.freed(); }));
@@ -324,7 +334,7 @@
   auto left = static_cast<std::int64_t>(links_.size());
   for (const auto& [id, link] : links_) {
     const auto old = left > 1 && now - link.idle_since > kIdleClose;
-    if (link.state == State::kIdle && (retired_ || left > share_ || old)) {
+    if (link.state == State::kIdle && (retired_ || left > Limit() || old)) {
       surplus.push_back(id);
       --left;
     }
--- a/kingcuplock/gateway/link_pool.h
+++ b/kingcuplock/gateway/link_pool.h
@@ -60,8 +60,9 @@
   LinkPool(const LinkPool&) = delete;
   auto operator=(const LinkPool&) -> LinkPool& = delete;
 
-  /// Sets how many connections this instance may hold; surplus idle ones close.
-  auto SetShare(std::int64_t share) -> void;
+  /// Sets how many connections this instance may hold in any case, and how many
+  /// while the member takes them; surplus idle ones close.
+  auto SetShare(std::int64_t share, std::int64_t most) -> void;
 
   /// Opens the first connection.
   auto Start() -> void;
@@ -132,6 +133,7 @@
   auto OpenOne() -> void;
   auto MayOpen(Lending lending) const -> bool;
   auto MayPin() const -> bool;
+  auto Limit() const -> std::int64_t;
   auto OnGreeted(ConnectionId id, const StatementAnswer& answer) -> void;
   auto Remove(ConnectionId id) -> void;
   auto MarkReach(Reach reach) -> void;
@@ -149,12 +151,15 @@
   LifeGuard guard_;
   std::map<ConnectionId, Link> links_;
   std::int64_t share_ = 1;
+  std::int64_t most_ = 1;
   std::int64_t lent_ = 0;
   std::int64_t pinned_ = 0;
   std::int64_t opening_ = 0;
   Reach reach_ = Reach::kUntried;
   std::optional<Time> last_heard_;
   Time no_opening_before_{};
+  /// Until when only the share counts, as the member had no room for more.
+  Time share_only_until_{};
   Duration reopen_pause_{};
   TimerId reopen_timer_ = 0;
   bool reopening_ = false;
--- a/kingcuplock/gateway/primary_view.h
+++ b/kingcuplock/gateway/primary_view.h
@@ -15,6 +15,8 @@
 #include <string>
 #include <string_view>
 
+#include "kingcuplock/session/log_place.h"
+
 namespace kingcuplock {
 
 /// Value type. Every Note function returns whether the view changed.
@@ -88,6 +90,13 @@
     }
   }
 
+  /// Returns whether a position that `member` lacks was cut off by a promotion:
+  /// only a member that already leads a later term can tell. One that is yet to
+  /// lead may just be behind.
+  auto HasCutOff(std::string_view member, LogPlace place) const -> bool {
+    return IsUsable() && !pending_ && member == member_ && place.term < term_;
+  }
+
   auto member() const -> const std::string& { return member_; }
   auto term() const -> std::int64_t { return term_; }
   /// Returns the member that was ordered to follow the present primary, empty
