Tests of the gateway on virtual time, of the codecs and of the boundary

Stand-in of statement groups (terms, lag, floors, fenced promotion), a fixture that joins gateways to it and to the store's stand-in, a check of what clients were told against what members ran. A holder without traffic of its own now looks at a primary that a peer does not reach (found by the new tests).

--- a/kingcuplock/admission/admission_queue_test.cc
+++ b/kingcuplock/admission/admission_queue_test.cc
@@ -120,3 +120,30 @@
 
 }  // namespace
 }  // namespace kingcuplock
+
+namespace kingcuplock {
+namespace {
+
+// The pattern: the primary is away for longer than some tasks can wait.
+TEST_CASE(
+    "What can't wait until a time is taken out, the rest stays in order") {
+  AdmissionQueue<int> queue(100, 4);
+  for (auto n = 0; n < 10; ++n) {
+    const auto deadline = Time{} + Milliseconds(n % 2 == 0 ? 900 : 100);
+    queue.Push({n % 3, static_cast<std::uint64_t>(n % 4), deadline, n}, Time{});
+  }
+  queue.PushFront({0, 1, Time{} + Milliseconds(50), 77});
+  const auto due = queue.TakeDueBefore(Time{} + Milliseconds(500));
+  CHECK(due.size() == 6);
+  CHECK(queue.Size() == 5);
+  std::vector<AdmissionQueue<int>::Entry> late;
+  auto n = 0;
+  while (const auto next = queue.Pop(Time{}, late)) {
+    CHECK(next->item % 2 == 0);
+    ++n;
+  }
+  CHECK(n == 5);
+}
+
+}  // namespace
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/gateway/gateway_failover_test.cc
@@ -0,0 +1,154 @@
+#include <algorithm>
+#include <set>
+
+#include <doctest/doctest.h>
+
+#include "testing/gateway_fixture.h"
+
+namespace kingcuplock {
+namespace {
+
+constexpr Milliseconds kStart{1200};
+/// Target for the time without writes besides the platform's own promotion.
+constexpr Milliseconds kGapTarget{800};
+constexpr Milliseconds kPromotion{1000};
+
+/// Writes through every gateway until `until`, and returns the longest time
+/// between two writes that had success.
+auto LongestGap(GatewayFixture& world, std::size_t gateways, Duration length)
+    -> Duration {
+  std::vector<std::size_t> clients;
+  for (std::size_t n = 0; n < gateways; ++n) {
+    clients.push_back(world.OpenClient(n, "db-primary"));
+  }
+  const auto until = world.Now() + length;
+  auto n = 0;
+  while (world.Now() < until) {
+    for (const auto client : clients) {
+      world.Say(client, "gap" + std::to_string(++n), StatementKind::kWrite,
+                "a");
+    }
+    world.RunFor(Milliseconds(20));
+  }
+  world.RunFor(Milliseconds(1000));
+  std::vector<Time> served;
+  for (const auto& it : world.said()) {
+    if (it.answer && it.answer->IsOk() &&
+        it.statement.kind == StatementKind::kWrite) {
+      served.push_back(it.answered);
+    }
+  }
+  std::sort(served.begin(), served.end());
+  Duration gap{};
+  for (std::size_t i = 1; i < served.size(); ++i) {
+    gap = std::max<Duration>(gap, served[i] - served[i - 1]);
+  }
+  return gap;
+}
+
+TEST_CASE("A crashed primary is replaced within the target") {
+  GatewayFixture world({.gateways = 3});
+  world.RunFor(kStart);
+  world.CrashMember("m1");
+  const auto gap = LongestGap(world, 3, Milliseconds(3000));
+  CHECK(world.group().Promotions() == 1);
+  CHECK(gap < kPromotion + kGapTarget);
+  CHECK(world.Check().empty());
+}
+
+TEST_CASE("A primary that went dark is replaced within the target") {
+  GatewayFixture world({.gateways = 3});
+  world.RunFor(kStart);
+  const auto client = world.OpenClient(0, "db-primary");
+  world.Say(client, "w0", StatementKind::kWrite, "a");
+  world.RunFor(Milliseconds(100));
+  world.SetDark("m1", true);
+  const auto gap = LongestGap(world, 3, Milliseconds(3000));
+  CHECK(world.group().Promotions() == 1);
+  CHECK(gap < kPromotion + kGapTarget);
+  CHECK(world.Check().empty());
+}
+
+TEST_CASE("A primary that others hear is not replaced") {
+  GatewayFixture world({.gateways = 3});
+  world.RunFor(kStart);
+  for (std::size_t n = 0; n < 2; ++n) {
+    world.Cut(n, "m1", true);
+  }
+  LongestGap(world, 3, Milliseconds(2000));
+  CHECK(world.group().Promotions() == 0);
+  CHECK(world.Check().empty());
+}
+
+TEST_CASE("A leaving primary is replaced without a gap in writes") {
+  GatewayFixture world({.gateways = 3});
+  world.RunFor(kStart);
+  world.SetLeaving("m1");
+  const auto gap = LongestGap(world, 3, Milliseconds(3000));
+  CHECK(world.group().Promotions() == 1);
+  CHECK(gap < Milliseconds(150));
+  CHECK(world.Check().empty());
+}
+
+TEST_CASE(
+    "Every order has a higher fencing token, also when answers are lost") {
+  GatewayFixture world({.gateways = 3});
+  world.RunFor(kStart);
+  world.LoseOrders(Milliseconds(2500));
+  world.CrashMember("m1");
+  world.RunFor(Milliseconds(2000));
+  world.LoseOrders(std::nullopt);
+  LongestGap(world, 3, Milliseconds(4000));
+  const auto& fences = world.Fences();
+  REQUIRE(fences.size() >= 2);
+  CHECK(std::is_sorted(fences.begin(), fences.end()));
+  CHECK(std::set(fences.begin(), fences.end()).size() == fences.size());
+  CHECK(world.CountOk() > 0);
+  CHECK(world.Check().empty());
+}
+
+TEST_CASE("A primary lost while the store is away is replaced") {
+  GatewayFixture world({.gateways = 3});
+  world.RunFor(kStart);
+  world.SetStoreUp(false);
+  world.RunFor(Milliseconds(1000));
+  world.CrashMember("m1");
+  const auto gap = LongestGap(world, 3, Milliseconds(3000));
+  CHECK(world.group().Promotions() == 1);
+  CHECK(gap < kPromotion + kGapTarget);
+  CHECK(world.Check().empty());
+}
+
+// The pattern: the primary is away and no one can be served in time.
+TEST_CASE("Writes that can't be served in time are refused at once") {
+  GatewayFixture world({.gateways = 1});
+  world.RunFor(kStart);
+  world.CrashMember("m1");
+  world.RunFor(Milliseconds(20));
+  const auto client = world.OpenClient(0, "db-primary");
+  const auto write = world.Say(client, "w1", StatementKind::kWrite, "a 1");
+  world.RunFor(Milliseconds(20));
+  const auto* answer = world.AnswerTo(write);
+  REQUIRE(answer != nullptr);
+  CHECK(answer->error == StatementError::kBusy);
+  CHECK(answer->text.find("retry after") != std::string::npos);
+}
+
+TEST_CASE("The duty passes on when its holder dies") {
+  GatewayFixture world({.gateways = 3});
+  world.RunFor(kStart);
+  for (std::size_t n = 0; n < 2; ++n) {
+    world.KillGateway(n);
+  }
+  world.RunFor(Milliseconds(4500));
+  world.CrashMember("m1");
+  const auto client = world.OpenClient(2, "db-primary");
+  world.RunFor(Milliseconds(2500));
+  const auto write = world.Say(client, "w1", StatementKind::kWrite, "a 1");
+  world.RunFor(Milliseconds(100));
+  REQUIRE(world.AnswerTo(write) != nullptr);
+  CHECK(world.AnswerTo(write)->IsOk());
+}
+
+}  // namespace
+}  // namespace kingcuplock
--- a/kingcuplock/gateway/group.h
+++ b/kingcuplock/gateway/group.h
@@ -70,7 +70,8 @@
   /// Forgets a task whose client has left.
   auto Cancel(const TaskPtr& task) -> void;
 
-  /// Takes a peer's report about this group's primary.
+  /// Takes a peer's report about this group's primary. A peer that does not
+  /// reach it makes this instance look for itself.
   auto NoteReport(const GroupReport& report) -> void;
 
   /// A member proved on a transaction's connection that it led after `sent`.
--- a/kingcuplock/gateway/group_outcome.cc
+++ b/kingcuplock/gateway/group_outcome.cc
@@ -279,11 +279,15 @@
   if (report.primary.empty() || FindMember(report.primary) == nullptr) {
     return;
   }
+  const auto unreached =
+      report.reach == Reach::kRefused || report.reach == Reach::kSilent;
   if (report.pending) {
     NoteOrdered(report.primary, report.term);
-  } else if (report.reach != Reach::kRefused &&
-             report.reach != Reach::kSilent &&
-             primary_.NoteTold(report.primary, report.term)) {
+  } else if (unreached) {
+    if (report.primary == primary_.member()) {
+      AskStatus(report.primary, 0, [](const MemberReport*) {});
+    }
+  } else if (primary_.NoteTold(report.primary, report.term)) {
     PrimaryChanged("peer");
   }
 }
--- /dev/null
+++ b/kingcuplock/gateway/views_test.cc
@@ -0,0 +1,112 @@
+#include <doctest/doctest.h>
+
+#include "kingcuplock/gateway/endpoint_directory.h"
+#include "kingcuplock/gateway/primary_view.h"
+#include "kingcuplock/gateway/read_choice.h"
+#include "kingcuplock/gateway/route_keeper.h"
+
+namespace kingcuplock {
+namespace {
+
+TEST_CASE("Terms of the primary only go up") {
+  PrimaryView view;
+  CHECK(view.NoteClaim("m1"));
+  CHECK(view.NoteLeads("m1", 3));
+  CHECK_FALSE(view.NoteLeads("m2", 2));
+  CHECK_FALSE(view.NoteLeads("m2", 3));
+  CHECK(view.NoteLeads("m2", 4));
+  CHECK(view.member() == "m2");
+}
+
+TEST_CASE("A member that refused is not taken back on hearsay") {
+  PrimaryView view;
+  view.NoteLeads("m1", 3);
+  CHECK(view.NoteLost("m1"));
+  CHECK_FALSE(view.NoteTold("m1", 3));
+  CHECK_FALSE(view.IsUsable());
+  CHECK(view.NoteLeads("m1", 3));
+}
+
+TEST_CASE("A successor takes over when the present primary refuses") {
+  PrimaryView view;
+  view.NoteLeads("m1", 3);
+  CHECK(view.NoteOrdered("m2", 4, true));
+  CHECK(view.member() == "m1");
+  CHECK(view.NoteLost("m1"));
+  CHECK(view.member() == "m2");
+  CHECK(view.IsPending());
+}
+
+TEST_CASE("Only a member that leads a later term tells what was cut off") {
+  PrimaryView view;
+  view.NoteLeads("m1", 1);
+  view.NoteOrdered("m2", 2, false);
+  CHECK_FALSE(view.HasCutOff("m2", {1, 9}));
+  view.NoteLeads("m2", 2);
+  CHECK(view.HasCutOff("m2", {1, 9}));
+  CHECK_FALSE(view.HasCutOff("m2", {2, 9}));
+  CHECK_FALSE(view.HasCutOff("m3", {1, 9}));
+}
+
+TEST_CASE("Reads go to near members, unless these are slow or busy") {
+  std::vector<MemberView> members = {
+      {"near", "a", false, 0, 2, Milliseconds(10)},
+      {"far", "b", false, 0, 2, Milliseconds(10)},
+      {"primary", "a", true, 0, 2, Milliseconds(10)}};
+  CHECK(OrderForRead(members, "a").front() == "near");
+  CHECK(OrderForRead(members, "b").front() == "far");
+  members[0].running = 4;
+  CHECK(OrderForRead(members, "a").front() == "far");
+  members[0].running = 0;
+  members[0].latency = Milliseconds(60);
+  CHECK(OrderForRead(members, "a").front() == "far");
+}
+
+TEST_CASE("A slow member is tried again after a while") {
+  LatencyAverage average;
+  Time now{};
+  for (auto n = 0; n < 50; ++n) {
+    average.Add(now, Milliseconds(100));
+  }
+  CHECK(average.At(now) > Milliseconds(90));
+  CHECK(average.At(now + std::chrono::seconds(10)) < Milliseconds(10));
+}
+
+TEST_CASE("A route table is never left for an older one") {
+  Outbox log;
+  auto changes = 0;
+  RouteKeeper keeper(log, [&] { ++changes; });
+  RouteTable table;
+  table.version = 7;
+  table.routes.push_back({"db", "g1"});
+  keeper.Offer(table, "store");
+  RouteTable older;
+  older.version = 6;
+  keeper.Offer(older, "peer");
+  CHECK(changes == 1);
+  REQUIRE(keeper.Find("db") != nullptr);
+  CHECK(keeper.Find("db")->group == "g1");
+}
+
+TEST_CASE("An entry that comes back in time was never gone") {
+  TimerService timers;
+  auto changes = 0;
+  EndpointDirectory directory(timers, [&] { ++changes; });
+  EndpointEntry entry;
+  entry.member = "m1";
+  entry.group = "g";
+  directory.Set(entry);
+  directory.Remove("m1");
+  timers.AdvanceTo(Time{} + Milliseconds(2000));
+  directory.Set(entry);
+  timers.AdvanceTo(Time{} + Milliseconds(9000));
+  CHECK(directory.Size() == 1);
+  CHECK(changes == 1);
+  directory.Remove("m1");
+  timers.AdvanceTo(Time{} + Milliseconds(12'000));
+  CHECK(directory.Size() == 0);
+  CHECK(changes == 2);
+}
+
+}  // namespace
+}  // namespace kingcuplock
--- a/kingcuplock/routing/age_tracker.cc
+++ b/kingcuplock/routing/age_tracker.cc
@@ -45,10 +45,9 @@
 }
 
 auto AgeTracker::FloorSince(Time not_before) const -> std::optional<LogPlace> {
-  const auto it = std::lower_bound(samples_.begin(), samples_.end(), not_before,
-                                   [](const auto& sample, const auto& time) {
-                                     return sample.sent < time;
-                                   });
+  const auto it = std::lower_bound(
+      samples_.begin(), samples_.end(), not_before,
+      [](const auto& sample, const auto& time) { return sample.sent < time; });
   if (it == samples_.end()) {
     return std::nullopt;
   }
--- a/kingcuplock/routing/age_tracker_test.cc
+++ b/kingcuplock/routing/age_tracker_test.cc
@@ -105,3 +105,19 @@
 
 }  // namespace
 }  // namespace kingcuplock
+
+namespace kingcuplock {
+namespace {
+
+TEST_CASE("A floor is the oldest sample that is young enough") {
+  AgeTracker ages;
+  CHECK_FALSE(ages.FloorSince(Time{}));
+  ages.AddSample(Time{} + Milliseconds(100), {1, 5});
+  ages.AddSample(Time{} + Milliseconds(200), {1, 9});
+  CHECK(ages.FloorSince(Time{} + Milliseconds(50)) == LogPlace{1, 5});
+  CHECK(ages.FloorSince(Time{} + Milliseconds(150)) == LogPlace{1, 9});
+  CHECK_FALSE(ages.FloorSince(Time{} + Milliseconds(250)));
+}
+
+}  // namespace
+}  // namespace kingcuplock
--- /dev/null
+++ b/standin/statements/statement_group.cc
@@ -0,0 +1,296 @@
+#include "standin/statements/statement_group.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcuplock {
+namespace {
+
+auto Refusal(StatementError error, TransactionState state) -> StatementAnswer {
+  StatementAnswer answer;
+  answer.error = error;
+  answer.state = state;
+  return answer;
+}
+
+}  // namespace
+
+StatementGroup::StatementGroup(std::string name,
+                               std::vector<std::string> members,
+                               StatementGroupOptions options)
+    : name_(std::move(name)),
+      names_(std::move(members)),
+      options_(options),
+      primary_(names_.front()) {
+  for (const auto& it : names_) {
+    members_[it];
+  }
+}
+
+// Moves what replicas received and applied, and a promotion that is due.
+auto StatementGroup::Advance(Time now) -> void {
+  if (pending_ && now >= pending_->second) {
+    const auto member = std::exchange(pending_, std::nullopt)->first;
+    TakeOver(member);
+  }
+  for (auto& [name, member] : members_) {
+    if (name == primary_ && member.up) {
+      member.received = member.applied = commits_.size();
+      continue;
+    }
+    const auto cut = member.deaf || member.paused_term > term_ || !member.up ||
+                     !members_.at(primary_).up;
+    const auto arrived = [&](std::size_t n, Duration lag) {
+      return n < commits_.size() && commits_[n].at + lag <= now;
+    };
+    while (!cut && arrived(member.received, options_.receive_lag)) {
+      ++member.received;
+    }
+    while (member.applied < member.received &&
+           arrived(member.applied, options_.apply_lag)) {
+      ++member.applied;
+    }
+  }
+}
+
+auto StatementGroup::TakeOver(const std::string& member) -> void {
+  if (!members_.at(member).up || member == primary_) {
+    return;
+  }
+  ++promotions_;
+  ++term_;
+  primary_ = member;
+  const auto kept = members_.at(member).received;
+  commits_.resize(kept);
+  for (auto& [name, it] : members_) {
+    it.received = std::min(it.received, kept);
+    it.applied = std::min(it.applied, kept);
+    it.paused_term = 0;
+  }
+  members_.at(member).applied = kept;
+}
+
+auto StatementGroup::PlaceOf(std::size_t commits) const -> LogPlace {
+  return commits == 0 ? LogPlace{1, 0} : commits_[commits - 1].place;
+}
+
+auto StatementGroup::Holds(const Member& member, LogPlace place) const -> bool {
+  if (place.position == 0) {
+    return true;
+  }
+  const auto end =
+      commits_.begin() + static_cast<std::ptrdiff_t>(member.applied);
+  return std::any_of(commits_.begin(), end,
+                     [place](const auto& it) { return it.place == place; });
+}
+
+auto StatementGroup::Connect(const std::string& member,
+                             std::string_view group,
+                             std::string_view expected,
+                             Time now) -> Greeting {
+  Advance(now);
+  if (group != name_ || expected != member) {
+    return {0, Refusal(StatementError::kWrongMember, TransactionState::kIdle)};
+  }
+  const auto open =
+      std::count_if(sessions_.begin(), sessions_.end(),
+                    [&](const auto& it) { return it.second.member == member; });
+  if (open >= options_.connections) {
+    return {0, Refusal(StatementError::kTooManyConnections,
+                       TransactionState::kIdle)};
+  }
+  const auto id = ++last_session_;
+  sessions_[id].member = member;
+  StatementAnswer answer;
+  answer.place = PlaceOf(members_.at(member).applied);
+  return {id, answer};
+}
+
+auto StatementGroup::Close(std::int64_t session) -> void {
+  sessions_.erase(session);
+}
+
+auto StatementGroup::Handle(std::int64_t id,
+                            const SessionStatement& statement,
+                            Time now) -> StatementAnswer {
+  Advance(now);
+  auto& session = sessions_.at(id);
+  auto answer = Run(session, statement, now);
+  if (!answer.IsOk() && session.state == TransactionState::kOpen) {
+    session.state = TransactionState::kFailed;
+  }
+  answer.state = session.state;
+  answer.place = PlaceOf(members_.at(session.member).applied);
+  if (answer.IsOk() && answer.signature.empty()) {
+    answer.signature = "-";
+  }
+  return answer;
+}
+
+auto StatementGroup::Run(Session& session,
+                         const SessionStatement& statement,
+                         Time now) -> StatementAnswer {
+  auto& member = members_.at(session.member);
+  const auto leads = session.member == primary_;
+  if (statement.after && !Holds(member, *statement.after)) {
+    return Refusal(StatementError::kLagging, session.state);
+  }
+  switch (statement.kind) {
+    case StatementKind::kBegin:
+    case StatementKind::kBeginReadOnly:
+      session.read_only = statement.kind == StatementKind::kBeginReadOnly;
+      if (!session.read_only && !leads) {
+        return Refusal(StatementError::kReadOnly, session.state);
+      }
+      session.state = TransactionState::kOpen;
+      session.term = term_;
+      session.writes.clear();
+      return {};
+    case StatementKind::kRollback:
+      session.state = TransactionState::kIdle;
+      session.writes.clear();
+      return {};
+    case StatementKind::kSetValue:
+      session.values[statement.name] = statement.arguments;
+      return {};
+    case StatementKind::kPrepare:
+      session.prepared[statement.name] = {statement.prepares_write,
+                                          statement.arguments};
+      return {};
+    case StatementKind::kReset:
+      session.values.clear();
+      session.prepared.clear();
+      return {};
+    case StatementKind::kStatus:
+    case StatementKind::kPause:
+    case StatementKind::kResume: {
+      if (statement.kind != StatementKind::kStatus) {
+        member.paused_term = statement.kind == StatementKind::kPause
+                                 ? std::stoll(statement.arguments)
+                                 : 0;
+      }
+      StatementAnswer answer;
+      answer.status = Status(session.member);
+      return answer;
+    }
+    default:
+      return RunAtMember(session, statement, now);
+  }
+}
+
+auto StatementGroup::RunAtMember(Session& session,
+                                 const SessionStatement& statement,
+                                 Time now) -> StatementAnswer {
+  const auto leads = session.member == primary_;
+  const auto in_transaction = session.state == TransactionState::kOpen;
+  if (session.state == TransactionState::kFailed) {
+    return Refusal(StatementError::kMalformed, session.state);
+  }
+  std::string shape;
+  auto writes = statement.kind == StatementKind::kWrite;
+  if (statement.kind == StatementKind::kExecute) {
+    const auto it = session.prepared.find(statement.name);
+    if (it == session.prepared.end()) {
+      return Refusal(StatementError::kUnknownStatement, session.state);
+    }
+    writes = it->second.first;
+    shape = it->second.second;
+  }
+  const auto commits = statement.kind == StatementKind::kCommit;
+  const auto lost_lead = in_transaction && !session.read_only &&
+                         (!leads || session.term != term_) &&
+                         !(commits && session.writes.empty());
+  if (lost_lead || (writes && (!leads || session.read_only))) {
+    return Refusal(StatementError::kReadOnly, session.state);
+  }
+  Record(session, statement, shape, now);
+  if (writes && in_transaction) {
+    session.writes.push_back(statement.id);
+  } else if (writes) {
+    Commit(session.member, {statement.id}, now);
+  } else if (commits) {
+    session.state = TransactionState::kIdle;
+    if (!session.writes.empty()) {
+      Commit(session.member, std::exchange(session.writes, {}), now);
+    }
+  }
+  StatementAnswer answer;
+  answer.signature = std::string("by-").append(session.member);
+  if (!writes && !commits) {
+    answer.rows.push_back(std::string("row of ").append(statement.id));
+  }
+  return answer;
+}
+
+auto StatementGroup::Commit(const std::string& member,
+                            std::vector<std::string> writes,
+                            Time now) -> void {
+  const auto position =
+      commits_.empty() ? 1 : commits_.back().place.position + 1;
+  commits_.push_back({{term_, position}, now, std::move(writes)});
+  members_.at(member).received = members_.at(member).applied = commits_.size();
+}
+
+auto StatementGroup::Record(const Session& session,
+                            const SessionStatement& statement,
+                            const std::string& shape,
+                            Time now) -> void {
+  runs_.push_back({statement.id, session.member, statement.kind, now,
+                   members_.at(session.member).applied, session.values, shape});
+}
+
+auto StatementGroup::Status(const std::string& member) const -> MemberReport {
+  MemberReport report;
+  report.is_primary = member == primary_;
+  report.term = term_;
+  report.received = PlaceOf(members_.at(member).received);
+  return report;
+}
+
+auto StatementGroup::Order(const std::string& member,
+                           std::int64_t fence,
+                           Time now) -> OrderOutcome {
+  Advance(now);
+  if (fence < highest_fence_) {
+    return OrderOutcome::kStaleFence;
+  }
+  highest_fence_ = fence;
+  if (!members_.contains(member) || !members_.at(member).up) {
+    return OrderOutcome::kNotRunning;
+  }
+  if (member != primary_) {
+    pending_ = {member, now + options_.promotion_time};
+  }
+  return OrderOutcome::kAccepted;
+}
+
+auto StatementGroup::Crash(const std::string& member) -> void {
+  members_.at(member).up = false;
+  std::erase_if(sessions_,
+                [&](const auto& it) { return it.second.member == member; });
+}
+
+auto StatementGroup::Restart(const std::string& member) -> void {
+  members_.at(member).up = true;
+  members_.at(member).paused_term = 0;
+}
+
+auto StatementGroup::SetDeaf(const std::string& member, bool deaf) -> void {
+  members_.at(member).deaf = deaf;
+}
+
+auto StatementGroup::IsUp(const std::string& member) const -> bool {
+  return members_.at(member).up;
+}
+
+auto StatementGroup::Leads(const std::string& member, Time now) -> bool {
+  Advance(now);
+  return member == primary_;
+}
+
+auto StatementGroup::Term(Time now) -> std::int64_t {
+  Advance(now);
+  return term_;
+}
+
+}  // namespace kingcuplock
