--- a/kingcuplock/gateway/group.cc
+++ b/kingcuplock/gateway/group.cc
@@ -301,7 +301,7 @@
                      member.pool->Lent(), member.entry.slots,
                      member.latency.At(timers_.Now())});
   }
-  return OrderForRead(views, data_centre_);
+  return OrderForRead(views, data_centre_, Milliseconds(task.route.target_ms));
 }
 
 auto Group::DispatchRead(const TaskPtr& task) -> void {
--- a/kingcuplock/gateway/read_choice.cc
+++ b/kingcuplock/gateway/read_choice.cc
@@ -7,9 +7,9 @@
 namespace kingcuplock {
 namespace {
 
-/// What a read in another data centre costs, as added latency: the round trip
-/// and the priced bytes.
-constexpr Milliseconds kCrossing{6};
+/// What a read in another data centre costs, as a part of its latency target:
+/// the priced bytes. Under load, latencies outgrow it.
+constexpr int kCrossingDivisor = 8;
 /// What a read at the primary costs, as added latency: a slot that writes need.
 constexpr Milliseconds kAtPrimary{10};
 /// Weight of a new answer time in the average, one in so many.
@@ -19,12 +19,14 @@
 /// Latency assumed of a member that answers at once, so that load counts.
 constexpr Milliseconds kLeastLatency{2};
 
-auto CostOf(const MemberView& it, std::string_view own_data_centre)
-    -> Duration {
+auto CostOf(const MemberView& it,
+            std::string_view own_data_centre,
+            Duration target) -> Duration {
   const auto latency = std::max<Duration>(it.latency, kLeastLatency);
   const auto slots = std::max<std::int64_t>(it.slots, 1);
   auto cost = latency + latency * it.running / slots;
-  cost += it.data_centre == own_data_centre ? Duration::zero() : kCrossing;
+  cost += it.data_centre == own_data_centre ? Duration::zero()
+                                            : target / kCrossingDivisor;
   cost += it.is_primary ? kAtPrimary : Duration::zero();
   return cost;
 }
@@ -32,11 +34,11 @@
 }  // namespace
 
 auto OrderForRead(std::span<const MemberView> members,
-                  std::string_view own_data_centre)
-    -> std::vector<std::string> {
+                  std::string_view own_data_centre,
+                  Duration target) -> std::vector<std::string> {
   std::vector<std::pair<Duration, std::string>> costs;
   for (const auto& it : members) {
-    costs.emplace_back(CostOf(it, own_data_centre), it.member);
+    costs.emplace_back(CostOf(it, own_data_centre, target), it.member);
   }
   std::sort(costs.begin(), costs.end());
   std::vector<std::string> order;
--- a/kingcuplock/gateway/read_choice.h
+++ b/kingcuplock/gateway/read_choice.h
@@ -5,7 +5,7 @@
 /// is needed for writes.
 ///
 /// Example:
-///   auto order = OrderForRead(views, "dc-a");
+///   auto order = OrderForRead(views, "dc-a", target);
 
 #include <cstdint>
 #include <span>
@@ -29,9 +29,11 @@
   Duration latency{};
 };
 
-/// Returns the members' names in order of preference. O(n log n).
+/// Returns the members' names in order of preference. `target` is the latency
+/// target of the read. O(n log n).
 auto OrderForRead(std::span<const MemberView> members,
-                  std::string_view own_data_centre) -> std::vector<std::string>;
+                  std::string_view own_data_centre,
+                  Duration target) -> std::vector<std::string>;
 
 /// Moving average of a member's answer times that falls back towards zero while
 /// the member is not used, so that a slow one is tried again. Value type; O(1).
--- a/kingcuplock/gateway/views_test.cc
+++ b/kingcuplock/gateway/views_test.cc
@@ -48,18 +48,29 @@
   CHECK_FALSE(view.HasCutOff("m3", {1, 9}));
 }
 
+constexpr Milliseconds kTarget{100};
+
 TEST_CASE("Reads go to near members, unless these are slow or busy") {
   std::vector<MemberView> members = {
       {"near", "a", false, 0, 2, Milliseconds(10)},
       {"far", "b", false, 0, 2, Milliseconds(10)},
-      {"primary", "a", true, 0, 2, Milliseconds(10)}};
-  CHECK(OrderForRead(members, "a").front() == "near");
-  CHECK(OrderForRead(members, "b").front() == "far");
+      {"primary", "c", true, 0, 2, Milliseconds(10)}};
+  CHECK(OrderForRead(members, "a", kTarget).front() == "near");
+  CHECK(OrderForRead(members, "b", kTarget).front() == "far");
   members[0].running = 4;
-  CHECK(OrderForRead(members, "a").front() == "far");
+  CHECK(OrderForRead(members, "a", kTarget).front() == "far");
   members[0].running = 0;
   members[0].latency = Milliseconds(60);
-  CHECK(OrderForRead(members, "a").front() == "far");
+  CHECK(OrderForRead(members, "a", kTarget).front() == "far");
+}
+
+TEST_CASE("The primary goes ahead of a crossing, behind a near replica") {
+  const std::vector<MemberView> members = {
+      {"far", "b", false, 0, 2, Milliseconds(10)},
+      {"primary", "a", true, 0, 2, Milliseconds(10)},
+      {"near", "a", false, 0, 2, Milliseconds(10)}};
+  CHECK(OrderForRead(members, "a", kTarget) ==
+        std::vector<std::string>{"near", "primary", "far"});
 }
 
 TEST_CASE("A slow member is tried again after a while") {
