--- a/kingcuplock/admission/admission_queue.h
+++ b/kingcuplock/admission/admission_queue.h
@@ -133,6 +133,11 @@
     size_ = 0;
   }
 
+  /// Sets how many items are served at once.
+  auto SetSlots(std::int64_t slots) -> void {
+    slots_ = std::max<std::int64_t>(slots, 1);
+  }
+
   /// Returns the number of items.
   auto Size() const -> std::size_t { return size_; }
 
--- a/kingcuplock/gateway/group.cc
+++ b/kingcuplock/gateway/group.cc
@@ -14,8 +14,7 @@
 constexpr std::int64_t kMostDivisor = 2;
 /// Tasks that one queue holds; far more than can be served within a deadline.
 constexpr std::size_t kQueueLimit = 256;
-/// Statements assumed to run at once per waiting queue; only the estimate of
-/// the wait depends on it.
+/// Statements of one queue that run at once, until the members are known.
 constexpr std::int64_t kQueueSlots = 2;
 /// Time in ms assumed from an order until the member leads, before one was
 /// measured.
@@ -92,6 +91,11 @@
   for (auto& [name, member] : members_) {
     SetShare(*member.pool);
   }
+  // A queue is served by as many connections as this instance can count on.
+  const auto share = config_.connections / std::max<std::int64_t>(instances, 1);
+  primary_queue_.SetSlots(share);
+  pin_queue_.SetSlots(share);
+  read_queue_.SetSlots(share * static_cast<std::int64_t>(members_.size()));
 }
 
 auto Group::SetMembers(std::span<const EndpointEntry> entries) -> void {
@@ -109,6 +113,7 @@
     }
   }
   DropUnregistered();
+  SetInstances(instances_);
   Pump();
 }
 
