--- a/kingcuplock/gateway/gateway.cc
+++ b/kingcuplock/gateway/gateway.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "kingcuplock/membership/peer_choice.h"
 #include "kingcuplock/schema/codec.h"
 
 namespace kingcuplock {
@@ -217,6 +218,8 @@
         GroupPorts{[this, name = it.name] { SpreadGroup(name); }});
   }
   duties_kept_.SetDatabases(names);
+  // The news go on from peer to peer.
+  peers_.SendHeartbeats();
   ApplyInstances();
   OnEndpointsChanged();
 }
@@ -261,19 +264,18 @@
   for (const auto& [key, entry] : instances_) {
     listed.push_back(entry);
   }
-  peers_.SetPeers(listed);
+  peers_.SetPeers(ChoosePeers(listed, settings_.instance));
 }
 
 auto Gateway::ApplyInstances() -> void {
-  const auto live = peers_.Live();
-  duties_kept_.SetLiveInstances(live);
-  // A registered instance that is not linked yet may hold connections too.
-  std::vector<std::string> names = live;
+  // Links lead to some instances only; the others are known by registration.
+  auto names = peers_.Live();
   for (const auto& [key, entry] : instances_) {
     names.push_back(entry.name);
   }
   std::sort(names.begin(), names.end());
   names.erase(std::unique(names.begin(), names.end()), names.end());
+  duties_kept_.SetLiveInstances(names);
   for (auto& [name, group] : groups_) {
     group->SetInstances(static_cast<std::int64_t>(names.size()));
   }
--- a/kingcuplock/gateway/group.cc
+++ b/kingcuplock/gateway/group.cc
@@ -6,12 +6,17 @@
 namespace kingcuplock {
 namespace {
 
-/// Part of a member's connections, in percent, that is dealt out to the
-/// instances; the rest is for whoever needs more, and for connections of dead
-/// instances that the member has not noticed.
-constexpr std::int64_t kSharePercent = 60;
-/// Part of a member's connections that one instance takes at most.
-constexpr std::int64_t kMostDivisor = 2;
+// An instance keeps one connection less than its even share: when all instances
+// lose power at once, members hold the old connections for seconds, and each
+// instance finds room for one at its return.
+
+/// How many times its even share of a member's connections an instance may
+/// hold: load is uneven between instances, and the member refuses what is too
+/// much for it.
+constexpr std::int64_t kShareFactor = 2;
+/// Connections that an instance may hold in any case: one for a transaction,
+/// one for single statements.
+constexpr std::int64_t kLeastConnections = 2;
 /// Tasks that one queue holds; far more than can be served within a deadline.
 constexpr std::size_t kQueueLimit = 256;
 /// Statements of one queue that run at once, until the members are known.
@@ -75,10 +80,10 @@
 
 // ---------------------------------------------------------------- members
 
-auto Group::SetShare(LinkPool& pool) const -> void {
-  const auto guaranteed = config_.connections * kSharePercent / 100 /
-                          std::max<std::int64_t>(instances_, 1);
-  pool.SetShare(guaranteed, config_.connections / kMostDivisor);
+auto Group::SetLimits(LinkPool& pool) const -> void {
+  const auto instances = std::max<std::int64_t>(instances_, 1);
+  const auto even = config_.connections / instances;
+  pool.SetLimits(even - 1, std::max(even * kShareFactor, kLeastConnections));
 }
 
 auto Group::SetConfig(const GroupConfig& config) -> void {
@@ -89,7 +94,7 @@
 auto Group::SetInstances(std::int64_t instances) -> void {
   instances_ = instances;
   for (auto& [name, member] : members_) {
-    SetShare(*member.pool);
+    SetLimits(*member.pool);
   }
   // A queue is served by as many connections as this instance can count on.
   const auto share = config_.connections / std::max<std::int64_t>(instances, 1);
@@ -127,7 +132,7 @@
                     guard_.Bind([this, name](Reach reach) {
                       OnReachChanged(name, reach);
                     })});
-  SetShare(*member.pool);
+  SetLimits(*member.pool);
   member.pool->Start();
   log_.Log(Event::kEndpointFound, {{"group", config_.name},
                                    {"member", name},
--- a/kingcuplock/gateway/group.h
+++ b/kingcuplock/gateway/group.h
@@ -125,7 +125,7 @@
   auto AddMember(const EndpointEntry& entry) -> void;
   auto UpdateMember(Member& member, const EndpointEntry& entry) -> void;
   auto DropUnregistered() -> void;
-  auto SetShare(LinkPool& pool) const -> void;
+  auto SetLimits(LinkPool& pool) const -> void;
   auto FindMember(std::string_view member) -> Member*;
   auto PrimaryMember() -> Member*;
   template <typename Handler>
--- a/kingcuplock/gateway/link_pool.cc
+++ b/kingcuplock/gateway/link_pool.cc
@@ -21,15 +21,16 @@
 constexpr Milliseconds kLongestPause{500};
 /// Time in ms for a member's greeting; it waits for a slot there.
 constexpr Milliseconds kGreetingPatience{2000};
-/// Pause in ms before opening again after the member refused one for its limit.
-constexpr Milliseconds kLimitPause{250};
-/// Time in ms for which an instance keeps to its share after the member had no
-/// room for more.
-constexpr Milliseconds kShareOnly{1500};
+/// First and longest pause in ms before opening again after the member refused
+/// a connection for its limit: it drops those of dead instances after 3 s.
+constexpr Milliseconds kLimitPause{100};
+constexpr Milliseconds kLongestLimitPause{800};
 /// Idle time in ms after which connections beyond the first are closed: others
 /// may need the room, and those of an instance that loses power block it.
 constexpr Milliseconds kIdleClose{1500};
-/// Connections that the gateway's own statements may add to the share.
+/// Idle time in ms after which connections beyond those kept are closed.
+constexpr Milliseconds kBorrowedIdle{200};
+/// Connections that the gateway's own statements may add to the limit.
 constexpr std::int64_t kControlExtra = 1;
 
 }  // namespace
@@ -51,16 +52,12 @@
   }
 }
 
-auto LinkPool::SetShare(std::int64_t share, std::int64_t most) -> void {
-  share_ = std::max<std::int64_t>(share, 1);
-  most_ = std::max(most, share_);
+auto LinkPool::SetLimits(std::int64_t kept, std::int64_t most) -> void {
+  kept_ = std::max<std::int64_t>(kept, 1);
+  most_ = std::max(most, kept_);
   CloseSurplus();
 }
 
-auto LinkPool::Limit() const -> std::int64_t {
-  return timers_.Now() < share_only_until_ ? share_ : most_;
-}
-
 auto LinkPool::Start() -> void {
   if (links_.empty()) {
     OpenOne();
@@ -68,13 +65,13 @@
 }
 
 auto LinkPool::MayPin() const -> bool {
-  return pinned_ < std::max<std::int64_t>(Limit() - 1, 1);
+  return pinned_ < std::max<std::int64_t>(most_ - 1, 1);
 }
 
 auto LinkPool::MayOpen(Lending lending) const -> bool {
   const auto extra = lending == Lending::kControl ? kControlExtra : 0;
   return !retired_ && timers_.Now() >= no_opening_before_ &&
-         static_cast<std::int64_t>(links_.size()) < Limit() + extra;
+         static_cast<std::int64_t>(links_.size()) < most_ + extra;
 }
 
 auto LinkPool::HasFree(Lending lending) const -> bool {
@@ -270,6 +267,7 @@
     auto& link = links_.at(id);
     link.state = State::kIdle;
     link.idle_since = timers_.Now();
+    limit_pause_ = Duration::zero();
     --opening_;
     CloseSurplus();
     ports_.freed();
@@ -278,11 +276,12 @@
   out_.Add(CloseStream{id});
   Remove(id);
   if (answer.error == StatementError::kTooManyConnections) {
-    no_opening_before_ = timers_.Now() + kLimitPause;
-    share_only_until_ = timers_.Now() + kShareOnly;
-    reopen_pause_ = kLimitPause;
+    limit_pause_ =
+        std::clamp<Duration>(2 * limit_pause_, kLimitPause, kLongestLimitPause);
+    no_opening_before_ = timers_.Now() + limit_pause_;
+    reopen_pause_ = limit_pause_;
     // Tasks that wait ask for a connection again then.
-    timers_.After(kLimitPause, guard_.Bind([this] { ports_.freed(); }));
+    timers_.After(most_pause_, guard_.Bind([this] { ports_.freed(); }));
   }
   if (answer.error == StatementError::kWrongMember) {
     // Another process listens at this address now.
@@ -333,8 +332,10 @@
   std::vector<ConnectionId> surplus;
   auto left = static_cast<std::int64_t>(links_.size());
   for (const auto& [id, link] : links_) {
-    const auto old = left > 1 && now - link.idle_since > kIdleClose;
-    if (link.state == State::kIdle && (retired_ || left > Limit() || old)) {
+    const auto idle = now - link.idle_since;
+    const auto old = (left > 1 && idle > kIdleClose) ||
+                     (left > kept_ && idle > kBorrowedIdle);
+    if (link.state == State::kIdle && (retired_ || left > most_ || old)) {
       surplus.push_back(id);
       --left;
     }
--- a/kingcuplock/gateway/link_pool.h
+++ b/kingcuplock/gateway/link_pool.h
@@ -7,7 +7,7 @@
 ///
 /// Example:
 ///   LinkPool pool(entry, timers, out, {.freed = ..., .reach_changed = ...});
-///   pool.SetShare(3);
+///   pool.SetLimits(2, 4);
 ///   if (auto link = pool.Acquire(session, nullptr, false)) {
 ///     pool.Run(link, statement, callback);
 ///   }
@@ -45,7 +45,7 @@
   kStatement,
   /// For a whole transaction.
   kTransaction,
-  /// For the gateway's own statements; may go beyond the share.
+  /// For the gateway's own statements; may go beyond the limit.
   kControl
 };
 
@@ -60,15 +60,15 @@
   LinkPool(const LinkPool&) = delete;
   auto operator=(const LinkPool&) -> LinkPool& = delete;
 
-  /// Sets how many connections this instance may hold in any case, and how many
-  /// while the member takes them; surplus idle ones close.
-  auto SetShare(std::int64_t share, std::int64_t most) -> void;
+  /// Sets how many connections this instance may hold idle, and how many in all
+  /// while the member takes them.
+  auto SetLimits(std::int64_t kept, std::int64_t most) -> void;
 
   /// Opens the first connection.
   auto Start() -> void;
 
   /// Lends a free connection, the one that needs the least set-up; 0 if none is
-  /// free, and then opens another if the share allows. O(connections).
+  /// free, and then opens another if the limit allows. O(connections).
   auto Acquire(const SessionState& session,
                const PreparedStatement* prepared,
                Lending lending) -> ConnectionId;
@@ -133,7 +133,6 @@
   auto OpenOne() -> void;
   auto MayOpen(Lending lending) const -> bool;
   auto MayPin() const -> bool;
-  auto Limit() const -> std::int64_t;
   auto OnGreeted(ConnectionId id, const StatementAnswer& answer) -> void;
   auto Remove(ConnectionId id) -> void;
   auto MarkReach(Reach reach) -> void;
@@ -150,7 +149,7 @@
   LinkPoolPorts ports_;
   LifeGuard guard_;
   std::map<ConnectionId, Link> links_;
-  std::int64_t share_ = 1;
+  std::int64_t kept_ = 1;
   std::int64_t most_ = 1;
   std::int64_t lent_ = 0;
   std::int64_t pinned_ = 0;
@@ -158,8 +157,8 @@
   Reach reach_ = Reach::kUntried;
   std::optional<Time> last_heard_;
   Time no_opening_before_{};
-  /// Until when only the share counts, as the member had no room for more.
-  Time share_only_until_{};
+  /// Pause after the member's next refusal for its limit.
+  Duration limit_pause_{};
   Duration reopen_pause_{};
   TimerId reopen_timer_ = 0;
   bool reopening_ = false;
