--- a/kingcuplock/gateway/link_pool.cc
+++ b/kingcuplock/gateway/link_pool.cc
@@ -281,7 +281,7 @@
     no_opening_before_ = timers_.Now() + limit_pause_;
     reopen_pause_ = limit_pause_;
     // Tasks that wait ask for a connection again then.
-    timers_.After(most_pause_, guard_.Bind([this] { ports_.freed(); }));
+    timers_.After(limit_pause_, guard_.Bind([this] { ports_.freed(); }));
   }
   if (answer.error == StatementError::kWrongMember) {
     // Another process listens at this address now.
