--- a/kingcuplock/gateway/gateway.cc
+++ b/kingcuplock/gateway/gateway.cc
@@ -9,6 +9,9 @@
 namespace kingcuplock {
 namespace {
 
+/// Time in ms for which changes of the fleet are gathered before links change:
+/// instances that start together register one after the other.
+constexpr Milliseconds kChoosePause{300};
 /// Prefix of the gateway's own keys in the store.
 constexpr std::string_view kKeyPrefix = "kingcuplock/";
 
@@ -69,7 +72,8 @@
                 }
               },
               [this](const std::string& peer) { reports_.erase(peer); },
-              [this] { ApplyInstances(); }}),
+              [this] { ApplyInstances(); }},
+             PeerLinking::kListed),
       session_ports_{
           [this](const std::string& it) { return routes_.Find(it); },
           [this](const std::string& it) { return FindGroup(it); },
@@ -219,7 +223,7 @@
   }
   duties_kept_.SetDatabases(names);
   // The news go on from peer to peer.
-  peers_.SendHeartbeats();
+  SendHeartbeats();
   ApplyInstances();
   OnEndpointsChanged();
 }
@@ -260,11 +264,17 @@
       return;
     }
   }
-  std::vector<InstanceEntry> listed;
-  for (const auto& [key, entry] : instances_) {
-    listed.push_back(entry);
+  if (std::exchange(choosing_peers_, true)) {
+    return;
   }
-  peers_.SetPeers(ChoosePeers(listed, settings_.instance));
+  timers_.After(kChoosePause, [this] {
+    choosing_peers_ = false;
+    std::vector<InstanceEntry> listed;
+    for (const auto& [key, entry] : instances_) {
+      listed.push_back(entry);
+    }
+    peers_.SetPeers(ChoosePeers(listed, settings_.instance));
+  });
 }
 
 auto Gateway::ApplyInstances() -> void {
--- a/kingcuplock/gateway/gateway.h
+++ b/kingcuplock/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -119,6 +120,7 @@
   auto TakeOffer(const RoutesOffer& offer, std::string_view source) -> void;
   auto BuildOffer() const -> RoutesOffer;
   auto SpreadGroup(const std::string& group) -> void;
+  auto SendHeartbeats() -> void;
   auto AskPeersForRoutes() -> void;
 
   // Duty to promote.
@@ -157,6 +159,9 @@
   /// Groups whose state heartbeats carry, and until when.
   std::map<std::string, Time> spread_;
   bool spreading_ = false;
+  bool choosing_peers_ = false;
+  /// Inbound peer links; news go out on them too.
+  std::set<ConnectionId> inbound_peers_;
   std::int64_t last_order_ = 0;
   bool endpoints_pending_ = false;
   // Planned stop.
--- a/kingcuplock/gateway/gateway_peers.cc
+++ b/kingcuplock/gateway/gateway_peers.cc
@@ -23,6 +23,7 @@
   if (const auto* opened = std::get_if<ConnectionOpened>(&event)) {
     store_.OnOpened(opened->connection) || peers_.OnOpened(opened->connection);
   } else if (const auto* closed = std::get_if<ConnectionClosed>(&event)) {
+    inbound_peers_.erase(closed->connection);
     store_.OnClosed(closed->connection) || peers_.OnClosed(closed->connection);
   } else if (const auto* arrived = std::get_if<MessageArrived>(&event)) {
     if (const auto* inbound = std::get_if<InboundMessage>(&arrived->message)) {
@@ -41,6 +42,7 @@
     -> void {
   if (const auto* heartbeat = std::get_if<Heartbeat>(&message)) {
     const auto wants = NoteHeartbeat(*heartbeat);
+    inbound_peers_.insert(source);
     shell_.Send(source, BuildHeartbeat());
     peers_.OnInboundHeartbeat(*heartbeat);
     if (wants) {
@@ -125,10 +127,17 @@
   }
   timers_.After(kSpreadPause, [this] {
     spreading_ = false;
-    peers_.SendHeartbeats();
+    SendHeartbeats();
   });
 }
 
+auto Gateway::SendHeartbeats() -> void {
+  peers_.SendHeartbeats();
+  for (const auto it : inbound_peers_) {
+    shell_.Send(it, BuildHeartbeat());
+  }
+}
+
 auto Gateway::AskPeersForRoutes() -> void {
   timers_.After(kAskInterval, [this] { AskPeersForRoutes(); });
   if (store_.IsReachable()) {
--- a/kingcuplock/gateway/gateway_stop.cc
+++ b/kingcuplock/gateway/gateway_stop.cc
@@ -54,7 +54,7 @@
       duties_kept_.Release(name, [](bool) {});
     }
   }
-  peers_.SendHeartbeats();
+  SendHeartbeats();
   StopTick();
 }
 
--- a/kingcuplock/membership/peer_links.cc
+++ b/kingcuplock/membership/peer_links.cc
@@ -17,12 +17,14 @@
                      TimingSettings timing,
                      TimerService& timers,
                      Outbox& outbox,
-                     PeerCallbacks callbacks)
+                     PeerCallbacks callbacks,
+                     PeerLinking linking)
     : self_(std::move(self)),
       timing_(timing),
       timers_(timers),
       outbox_(outbox),
-      callbacks_(std::move(callbacks)) {}
+      callbacks_(std::move(callbacks)),
+      linking_(linking) {}
 
 void PeerLinks::SetPeers(std::span<const InstanceEntry> listed) {
   for (auto& [name, peer] : peers_) {
@@ -72,7 +74,15 @@
 
 void PeerLinks::ForgetUnlisted() {
   std::vector<std::string> gone;
+  const auto any_listed =
+      std::any_of(peers_.begin(), peers_.end(),
+                  [](const auto& it) { return it.second.listed.has_value(); });
+  const auto drop_heard = linking_ == PeerLinking::kListed && any_listed;
   for (const auto& [name, peer] : peers_) {
+    if (!peer.listed && drop_heard) {
+      gone.push_back(name);
+      continue;
+    }
     const auto silent = timers_.Now() - peer.last_heard >= kForgetAfter;
     if (!peer.listed && !peer.heard && silent) {
       gone.push_back(name);
@@ -94,6 +104,9 @@
   }
   const auto it = peers_.find(heartbeat.instance);
   if (it == peers_.end()) {
+    if (linking_ == PeerLinking::kListed && !peers_.empty()) {
+      return;
+    }
     Add(address);
   } else if (it->second.address != address && !it->second.IsLive()) {
     Move(it->second, address);
--- a/kingcuplock/membership/peer_links.h
+++ b/kingcuplock/membership/peer_links.h
@@ -39,6 +39,14 @@
   std::function<void()> changed;
 };
 
+/// Which peers are linked beside the listed ones.
+enum class PeerLinking {
+  /// Every peer that is heard from.
+  kAll,
+  /// None, once any is listed.
+  kListed
+};
+
 /// Not thread safe. O(log n) in peers per message.
 class PeerLinks {
  public:
@@ -46,7 +54,8 @@
             TimingSettings timing,
             TimerService& timers,
             Outbox& outbox,
-            PeerCallbacks callbacks);
+            PeerCallbacks callbacks,
+            PeerLinking linking = PeerLinking::kAll);
 
   /// Sets the peers listed. A peer that answers keeps its link, wherever the
   /// list places it; one that does not is sought where the list says.
@@ -104,6 +113,7 @@
   TimerService& timers_;
   Outbox& outbox_;
   PeerCallbacks callbacks_;
+  PeerLinking linking_;
   std::map<std::string, Peer, std::less<>> peers_;
   std::map<ConnectionId, std::string> by_connection_;
 };
