--- /dev/null
+++ b/kingcuplock/gateway/gateway_stop_test.cc
@@ -0,0 +1,95 @@
+#include <doctest/doctest.h>
+
+#include "testing/gateway_fixture.h"
+
+namespace kingcuplock {
+namespace {
+
+constexpr Milliseconds kStart{300};
+
+TEST_CASE("A planned stop answers everything and ends before the kill") {
+  GatewayFixture world({.gateways = 2});
+  world.RunFor(kStart);
+  const auto client = world.OpenClient(0, "db-primary");
+  world.RunFor(Milliseconds(20));
+  CHECK(world.gateway(0).AnswerReadinessProbe());
+  world.Say(client, "b1", StatementKind::kBegin);
+  world.Say(client, "w1", StatementKind::kWrite, "a 1");
+  world.RunFor(Milliseconds(40));
+  world.StopGateway(0);
+  CHECK_FALSE(world.gateway(0).AnswerReadinessProbe());
+  world.RunFor(Milliseconds(1000));
+  CHECK_FALSE(world.gateway(0).AnswerReadinessProbe());
+  // New work is still served until the balancer has noticed.
+  const auto late = world.OpenClient(0, "db-primary");
+  const auto write = world.Say(late, "w2", StatementKind::kWrite, "b 2");
+  world.RunFor(Milliseconds(60));
+  CHECK(world.AnswerTo(write)->IsOk());
+  // The open transaction has its time.
+  world.RunFor(Milliseconds(900));
+  const auto commit = world.Say(client, "c1", StatementKind::kCommit);
+  world.RunFor(Milliseconds(60));
+  REQUIRE(world.AnswerTo(commit) != nullptr);
+  CHECK(world.AnswerTo(commit)->IsOk());
+  world.RunFor(Milliseconds(600));
+  CHECK(world.IsStopped(0));
+  CHECK(world.Check().empty());
+}
+
+TEST_CASE("A transaction that never ends does not hold the stop up") {
+  GatewayFixture world({.gateways = 1});
+  world.RunFor(kStart);
+  const auto client = world.OpenClient(0, "db-primary");
+  world.Say(client, "b1", StatementKind::kBegin);
+  for (auto n = 0; n < 3; ++n) {
+    world.Say(client, "w" + std::to_string(n), StatementKind::kWrite, "a");
+    world.RunFor(Milliseconds(100));
+  }
+  world.StopGateway(0);
+  for (auto n = 0; n < 60; ++n) {
+    world.Say(client, "x" + std::to_string(n), StatementKind::kRead, "a");
+    world.RunFor(Milliseconds(100));
+  }
+  CHECK(world.IsStopped(0));
+  CHECK(world.group().commits().empty());
+}
+
+TEST_CASE("The duty passes on at once in a planned stop") {
+  GatewayFixture world({.gateways = 2});
+  world.RunFor(Milliseconds(1200));
+  world.StopGateway(0);
+  world.RunFor(Milliseconds(3500));
+  world.KillGateway(0);
+  world.RunFor(Milliseconds(200));
+  world.CrashMember("m1");
+  world.RunFor(Milliseconds(2000));
+  CHECK(world.group().Promotions() == 1);
+}
+
+// Without a configuration nobody can be served; the balancer must know.
+TEST_CASE("A gateway without a route table is not ready") {
+  GatewayFixture world({.gateways = 1});
+  CHECK_FALSE(world.gateway(0).AnswerReadinessProbe());
+  world.RunFor(kStart);
+  CHECK(world.gateway(0).AnswerReadinessProbe());
+}
+
+TEST_CASE("A gateway that starts while the store is away learns from a peer") {
+  GatewayFixture world({.gateways = 3});
+  world.RunFor(Milliseconds(1500));
+  world.KillGateway(2);
+  world.SetStoreUp(false);
+  world.RunFor(Milliseconds(100));
+  world.StartGateway(2);
+  world.RunFor(Milliseconds(4000));
+  world.SetStoreUp(true);
+  world.RunFor(Milliseconds(4000));
+  const auto client = world.OpenClient(2, "db-primary");
+  const auto write = world.Say(client, "w1", StatementKind::kWrite, "a");
+  world.RunFor(Milliseconds(60));
+  REQUIRE(world.AnswerTo(write) != nullptr);
+  CHECK(world.AnswerTo(write)->IsOk());
+}
+
+}  // namespace
+}  // namespace kingcuplock
--- a/soak/platform_standin.py
+++ b/soak/platform_standin.py
@@ -218,7 +218,8 @@
         self.open += 1
         try:
             await self.converse(reader, writer)
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.LimitOverrunError,
+                asyncio.CancelledError):
             pass
         finally:
             self.open -= 1
@@ -333,9 +334,11 @@
             parsed = urllib.parse.urlsplit(target)
             query = dict(urllib.parse.parse_qsl(parsed.query, keep_blank_values=True))
             how = mode()
-            if how == "silent" or (how == "slow" and not await asyncio.sleep(0.3)) and False:
+            if how == "silent":
                 await asyncio.sleep(3)
                 break
+            if how == "slow":
+                await asyncio.sleep(0.3)
             if how == "refusing":
                 status, body = 503, {}
             else:
@@ -346,7 +349,7 @@
             writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(text)}\r\n\r\n"
                          .encode() + text)
             await writer.drain()
-    except (ConnectionError, asyncio.IncompleteReadError):
+    except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
         pass
     finally:
         writer.close()
