--- a/kingcuplock/gateway/gateway.cc
+++ b/kingcuplock/gateway/gateway.cc
@@ -78,7 +78,7 @@
           [this](const std::string& it) { return routes_.Find(it); },
           [this](const std::string& it) { return FindGroup(it); },
           [this] { return Milliseconds(routes_.table().transaction_idle_ms); },
-          [this](ConnectionId) {}, std::move(observer)} {}
+          std::move(observer)} {}
 
 Gateway::~Gateway() {
   // Sessions give their connections back to the groups.
--- a/kingcuplock/gateway/session.cc
+++ b/kingcuplock/gateway/session.cc
@@ -75,9 +75,6 @@
     Run(std::move(statement));
   }
   advancing_ = false;
-  if (IsAtRest()) {
-    ports_.rested(client_);
-  }
 }
 
 auto Session::Run(SessionStatement statement) -> void {
--- a/kingcuplock/gateway/session.h
+++ b/kingcuplock/gateway/session.h
@@ -35,8 +35,6 @@
   std::function<Group*(const std::string& group)> group;
   /// Returns the idle time after which a transaction may be rolled back.
   std::function<Milliseconds()> transaction_idle;
-  /// The session came to rest between operations.
-  std::function<void(ConnectionId)> rested;
   /// A statement was answered after `latency`.
   std::function<void(StatementError, Duration latency)> answered;
 };
