--- a/kingcuplock/base/log.cc
+++ b/kingcuplock/base/log.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
+#include <iterator>
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
@@ -45,69 +46,74 @@
   return out + "\"";
 }
 
+using enum Event;
+using enum Severity;
+
+/// The whole catalogue, in order of number.
+constexpr EventInfo kCatalogue[] = {
+    {kProxyStarted, kInfo, "proxy started"},
+    {kProxyStopping, kInfo, "planned stop began"},
+    {kProxyStopped, kInfo, "proxy stopped"},
+    {kSettingsRejected, kError, "settings rejected"},
+    {kRingFull, kWarning, "ring full, requests refused"},
+    {kOwnerAcquired, kInfo, "ownership acquired"},
+    {kOwnerLost, kWarning, "ownership lost"},
+    {kOwnerReleased, kInfo, "ownership released"},
+    {kLeaseGranted, kInfo, "lease granted"},
+    {kLeaseLapsed, kWarning, "lease lapsed"},
+    {kFenceRaised, kInfo, "epoch raised in the database"},
+    {kPrimarySuspected, kWarning, "primary suspected"},
+    {kPromotionBegan, kWarning, "promotion began"},
+    {kPromotionWaits, kError, "promotion waits for members"},
+    {kPromotionDone, kWarning, "promotion done"},
+    {kMemberDemoted, kWarning, "member told to follow the primary"},
+    {kWritesOpen, kInfo, "writes open"},
+    {kReplicationStalled, kWarning, "primary no longer reaches replicas"},
+    {kManifestInForce, kInfo, "manifest in force"},
+    {kManifestRejected, kError, "manifest rejected"},
+    {kManifestConflict, kError, "one manifest version has two contents"},
+    {kDatabaseReconfigured, kInfo, "owner takes a new configuration"},
+    {kPeerUp, kInfo, "peer link up"},
+    {kPeerDown, kWarning, "peer link down"},
+    {kStoreUp, kInfo, "store reachable"},
+    {kStoreDown, kWarning, "store not reachable"},
+    {kMemberConnectionReplaced, kWarning, "member connection replaced"},
+    {kPeerMoved, kInfo, "peer has another address"},
+    {kEndpointLeaving, kInfo, "endpoint is leaving, gets no new work"},
+    {kInstanceListRejected, kError, "platform's list rejected"},
+    {kFrameRejected, kWarning, "frame rejected"},
+    {kStatementServed, kInfo, "statement served"},
+    {kStatementSetBack, kInfo, "attempt ended without effect"},
+    {kStatementRefused, kWarning, "statement refused, has not run"},
+    {kStatementFailed, kWarning, "statement failed"},
+    {kTransactionIdle, kWarning, "idle transaction rolled back"},
+    {kSessionPlaceLost, kWarning, "promotion cut off a session's writes"},
+    {kClientRejected, kWarning, "client rejected"},
+    {kSessionOpened, kInfo, "session opened"},
+    {kSessionClosed, kInfo, "session closed"},
+    {kPrimaryBelieved, kInfo, "belief about the primary changed"},
+    {kEndpointFound, kInfo, "endpoint registered"},
+    {kEndpointGone, kWarning, "endpoint no longer registered"},
+    {kEndpointReach, kInfo, "reach of an endpoint changed"},
+    {kEndpointRejected, kWarning, "endpoint entry rejected"},
+    {kPromotionWeighed, kInfo, "promotion weighed"},
+    {kPromotionOrdered, kWarning, "promotion ordered"},
+    {kPromotionAnswered, kInfo, "order to promote answered"},
+    {kRoutesInForce, kInfo, "route table in force"},
+    {kRoutesRejected, kError, "route table rejected"},
+    {kSettingsReloaded, kInfo, "settings read again"},
+    {kReadiness, kInfo, "readiness changed"},
+    {kLogLinesDropped, kWarning, "log lines dropped over their rate"},
+    {kStoreTurnedAway, kWarning, "store turned a call away"},
+    {kStoreHistoryGone, kWarning, "store forgot its history, read again"},
+};
+
 }  // namespace
 
 auto EventCatalogue() -> const std::vector<EventInfo>& {
-  using enum Event;
-  using enum Severity;
-  static const std::vector<EventInfo> kCatalogue = {
-      {kProxyStarted, kInfo, "proxy started"},
-      {kProxyStopping, kInfo, "planned stop began"},
-      {kProxyStopped, kInfo, "proxy stopped"},
-      {kSettingsRejected, kError, "settings rejected"},
-      {kRingFull, kWarning, "ring full, requests refused"},
-      {kOwnerAcquired, kInfo, "ownership acquired"},
-      {kOwnerLost, kWarning, "ownership lost"},
-      {kOwnerReleased, kInfo, "ownership released"},
-      {kLeaseGranted, kInfo, "lease granted"},
-      {kLeaseLapsed, kWarning, "lease lapsed"},
-      {kFenceRaised, kInfo, "epoch raised in the database"},
-      {kPrimarySuspected, kWarning, "primary suspected"},
-      {kPromotionBegan, kWarning, "promotion began"},
-      {kPromotionWaits, kError, "promotion waits for members"},
-      {kPromotionDone, kWarning, "promotion done"},
-      {kMemberDemoted, kWarning, "member told to follow the primary"},
-      {kWritesOpen, kInfo, "writes open"},
-      {kReplicationStalled, kWarning, "primary no longer reaches replicas"},
-      {kManifestInForce, kInfo, "manifest in force"},
-      {kManifestRejected, kError, "manifest rejected"},
-      {kManifestConflict, kError, "one manifest version has two contents"},
-      {kDatabaseReconfigured, kInfo, "owner takes a new configuration"},
-      {kPeerUp, kInfo, "peer link up"},
-      {kPeerDown, kWarning, "peer link down"},
-      {kStoreUp, kInfo, "store reachable"},
-      {kStoreDown, kWarning, "store not reachable"},
-      {kMemberConnectionReplaced, kWarning, "member connection replaced"},
-      {kPeerMoved, kInfo, "peer has another address"},
-      {kEndpointLeaving, kInfo, "endpoint is leaving, gets no new work"},
-      {kInstanceListRejected, kError, "platform's list rejected"},
-      {kFrameRejected, kWarning, "frame rejected"},
-      {kStatementServed, kInfo, "statement served"},
-      {kStatementSetBack, kInfo, "attempt ended without effect"},
-      {kStatementRefused, kWarning, "statement refused, has not run"},
-      {kStatementFailed, kWarning, "statement failed"},
-      {kTransactionIdle, kWarning, "idle transaction rolled back"},
-      {kSessionPlaceLost, kWarning, "promotion cut off a session's writes"},
-      {kClientRejected, kWarning, "client rejected"},
-      {kSessionOpened, kInfo, "session opened"},
-      {kSessionClosed, kInfo, "session closed"},
-      {kPrimaryBelieved, kInfo, "belief about the primary changed"},
-      {kEndpointFound, kInfo, "endpoint registered"},
-      {kEndpointGone, kWarning, "endpoint no longer registered"},
-      {kEndpointReach, kInfo, "reach of an endpoint changed"},
-      {kEndpointRejected, kWarning, "endpoint entry rejected"},
-      {kPromotionWeighed, kInfo, "promotion weighed"},
-      {kPromotionOrdered, kWarning, "promotion ordered"},
-      {kPromotionAnswered, kInfo, "order to promote answered"},
-      {kRoutesInForce, kInfo, "route table in force"},
-      {kRoutesRejected, kError, "route table rejected"},
-      {kSettingsReloaded, kInfo, "settings read again"},
-      {kReadiness, kInfo, "readiness changed"},
-      {kLogLinesDropped, kWarning, "log lines dropped over their rate"},
-      {kStoreTurnedAway, kWarning, "store turned a call away"},
-      {kStoreHistoryGone, kWarning, "store forgot its history, read again"},
-  };
-  return kCatalogue;
+  static const std::vector<EventInfo> kAll(std::begin(kCatalogue),
+                                           std::end(kCatalogue));
+  return kAll;
 }
 
 auto FormatEvent(Event event, const std::vector<Field>& fields) -> std::string {
--- a/kingcuplock/store_client/store_client.cc
+++ b/kingcuplock/store_client/store_client.cc
@@ -170,9 +170,8 @@
     return;
   }
   timers_.Cancel(node.mapped().timer);
-  timers_.After(kTurnedAwayPause, [callback = node.mapped().callback] {
-    callback(nullptr);
-  });
+  timers_.After(kTurnedAwayPause,
+                [callback = node.mapped().callback] { callback(nullptr); });
 }
 
 void StoreClient::Fail(std::int64_t id) {
