--- a/kingcuplock/gateway/gateway.cc
+++ b/kingcuplock/gateway/gateway.cc
@@ -337,15 +337,23 @@
     -> std::optional<Duration> {
   std::optional<Duration> least;
   const auto it = groups_.find(group);
+  if (it == groups_.end()) {
+    return std::nullopt;
+  }
+  // Where no primary is known here, one that a peer reaches counts.
+  const auto& primary = it->second->primary();
   for (const auto& [peer, by_group] : reports_) {
     const auto heard = by_group.find(group);
-    if (heard == by_group.end() || it == groups_.end() ||
-        heard->second.report.primary != it->second->primary().member() ||
-        heard->second.report.heard_ms < 0) {
+    if (heard == by_group.end()) {
+      continue;
+    }
+    const auto& report = heard->second.report;
+    const auto other = primary.IsUsable() && report.primary != primary.member();
+    if (other || report.heard_ms < 0 || report.primary.empty()) {
       continue;
     }
-    const auto age = timers_.Now() - heard->second.arrived +
-                     Milliseconds(heard->second.report.heard_ms);
+    const auto age =
+        timers_.Now() - heard->second.arrived + Milliseconds(report.heard_ms);
     least = std::min(least.value_or(age), age);
   }
   return least;
--- a/kingcuplock/gateway/gateway_failover_test.cc
+++ b/kingcuplock/gateway/gateway_failover_test.cc
@@ -119,6 +119,20 @@
   CHECK(world.Check().empty());
 }
 
+// Entries that lapsed with an outage of the store come back a little later.
+TEST_CASE("A primary whose entry is not back yet is not replaced") {
+  GatewayFixture world({.gateways = 2, .hidden = "m1"});
+  world.RunFor(Milliseconds(4000));
+  world.ShowEntries();
+  world.RunFor(Milliseconds(1500));
+  CHECK(world.group().Promotions() == 0);
+  const auto client = world.OpenClient(0, "db-primary");
+  const auto write = world.Say(client, "w1", StatementKind::kWrite, "a 1");
+  world.RunFor(Milliseconds(60));
+  REQUIRE(world.AnswerTo(write) != nullptr);
+  CHECK(world.AnswerTo(write)->IsOk());
+}
+
 // The pattern: the primary is away and no one can be served in time.
 TEST_CASE("Writes that can't be served in time are refused at once") {
   GatewayFixture world({.gateways = 1});
--- a/kingcuplock/gateway/promotion_duty.cc
+++ b/kingcuplock/gateway/promotion_duty.cc
@@ -16,6 +16,10 @@
 /// Time in ms without a known primary, all members being reached, after which
 /// one is chosen.
 constexpr Milliseconds kLostLimit{700};
+/// Time in ms for which a holder that never knew a primary waits for its entry:
+/// entries come back within two seconds of an outage of the store, and are read
+/// each three.
+constexpr Milliseconds kUnknownLimit{5500};
 /// Pause in ms after an order that was not carried out.
 constexpr Milliseconds kRetryPause{60};
 /// Time in ms within which the same reason for not promoting is logged once.
@@ -96,7 +100,8 @@
   const auto lost_for = LostFor();
   if (!primary.IsUsable()) {
     const auto any = !group_.MemberNames().empty();
-    return any && lost_for >= kLostLimit
+    const auto limit = primary.member().empty() ? kUnknownLimit : kLostLimit;
+    return any && lost_for >= limit
                ? std::optional<std::string_view>("no member leads")
                : std::nullopt;
   }
--- a/testing/gateway_fixture.cc
+++ b/testing/gateway_fixture.cc
@@ -573,7 +573,7 @@
 
 auto GatewayFixture::UpdateRoles() -> void {
   for (const auto& it : group_.members()) {
-    if (group_.IsUp(it)) {
+    if (group_.IsUp(it) && it != options_.hidden) {
       PutEndpoint(it);
     }
   }
--- a/testing/gateway_fixture.h
+++ b/testing/gateway_fixture.h
@@ -42,6 +42,8 @@
   /// One-way delay of every message, and the time of a statement at a member.
   Duration delay{Milliseconds(1)};
   Duration work{Milliseconds(5)};
+  /// Member whose entry is missing from the store until ShowEntries().
+  std::string hidden = {};
   std::int64_t max_age_ms = 1500;
   std::int64_t timeout_ms = 800;
   std::int64_t target_ms = 100;
@@ -101,6 +103,7 @@
   auto LoseAnswers(const std::string& member, int count) -> void;
   auto SetStoreUp(bool up) -> void { store_up_ = up; }
   auto SetLeaving(const std::string& member) -> void;
+  auto ShowEntries() -> void { options_.hidden.clear(); }
   auto KillGateway(std::size_t gateway) -> void;
   auto StartGateway(std::size_t gateway) -> void;
   auto StopGateway(std::size_t gateway) -> void;
