A leaving primary that can't be replaced gets no new work after half its time

The setting of the time was read and not used. Test: gateway_failover_test, 'A leaving primary that can't be replaced gets no new work at last'.

--- a/kingcuplock/gateway/gateway.cc
+++ b/kingcuplock/gateway/gateway.cc
@@ -221,7 +221,9 @@
       continue;
     }
     group = std::make_unique<Group>(
-        it, settings_.data_centre, timers_, out_, shell_,
+        it,
+        GroupSite{settings_.data_centre, Milliseconds(settings_.leaving_ms)},
+        timers_, out_, shell_,
         GroupPorts{[this, name = it.name] { SpreadGroup(name); }});
   }
   duties_kept_.SetDatabases(names);
--- a/kingcuplock/gateway/gateway_failover_test.cc
+++ b/kingcuplock/gateway/gateway_failover_test.cc
@@ -119,6 +119,25 @@
   CHECK(world.Check().empty());
 }
 
+// Fails when a leaving primary is used until it is replaced.
+TEST_CASE("A leaving primary that can't be replaced gets no new work at last") {
+  GatewayFixture world({.gateways = 1});
+  world.RunFor(kStart);
+  world.LoseOrders(std::chrono::hours(1));
+  world.SetLeaving("m1");
+  const auto client = world.OpenClient(0, "db-primary");
+  const auto early = world.Say(client, "w1", StatementKind::kWrite, "a");
+  world.RunFor(Milliseconds(60));
+  REQUIRE(world.AnswerTo(early) != nullptr);
+  CHECK(world.AnswerTo(early)->IsOk());
+  world.RunFor(Milliseconds(4000));
+  const auto late = world.Say(client, "w2", StatementKind::kWrite, "a");
+  world.RunFor(Milliseconds(600));
+  REQUIRE(world.AnswerTo(late) != nullptr);
+  CHECK(world.AnswerTo(late)->error == StatementError::kBusy);
+  CHECK(world.group().commits().size() == 1);
+}
+
 // Entries that lapsed with an outage of the store come back a little later.
 TEST_CASE("A primary whose entry is not back yet is not replaced") {
   GatewayFixture world({.gateways = 2, .hidden = "m1"});
--- a/kingcuplock/gateway/group.cc
+++ b/kingcuplock/gateway/group.cc
@@ -17,6 +17,10 @@
 /// Connections that an instance may hold in any case: one for a transaction,
 /// one for single statements.
 constexpr std::int64_t kLeastConnections = 2;
+/// Part of the time that a leaving member may get new work, in percent, for
+/// which a leaving primary does: its entry is read seconds after it was
+/// written.
+constexpr int kLeavingPercent = 50;
 /// Tasks that one queue holds; far more than can be served within a deadline.
 constexpr std::size_t kQueueLimit = 256;
 /// Statements of one queue that run at once, until the members are known.
@@ -44,13 +48,13 @@
 }  // namespace
 
 Group::Group(GroupConfig config,
-             std::string data_centre,
+             GroupSite site,
              TimerService& timers,
              GatewayOutbox& out,
              Outbox& log,
              GroupPorts ports)
     : config_(std::move(config)),
-      data_centre_(std::move(data_centre)),
+      site_(std::move(site)),
       timers_(timers),
       out_(out),
       log_(log),
@@ -125,6 +129,8 @@
 auto Group::AddMember(const EndpointEntry& entry) -> void {
   auto& member = members_[entry.member];
   member.entry = entry;
+  member.leaving_since =
+      entry.leaving ? std::optional<Time>(timers_.Now()) : std::nullopt;
   const auto name = entry.member;
   member.pool = std::make_shared<LinkPool>(
       entry, timers_, out_,
@@ -147,6 +153,7 @@
                      member.entry.born_ms != entry.born_ms;
   const auto began_to_lead = entry.leads && !member.entry.leads;
   if (entry.leaving && !member.entry.leaving) {
+    member.leaving_since = timers_.Now();
     log_.Log(Event::kEndpointLeaving,
              {{"group", config_.name}, {"member", entry.member}});
   }
@@ -190,7 +197,12 @@
 }
 
 auto Group::PrimaryMember() -> Member* {
-  return primary_.IsUsable() ? FindMember(primary_.member()) : nullptr;
+  auto* member = primary_.IsUsable() ? FindMember(primary_.member()) : nullptr;
+  if (member == nullptr || !member->leaving_since) {
+    return member;
+  }
+  const auto leaving_for = timers_.Now() - *member->leaving_since;
+  return leaving_for < site_.leaving * kLeavingPercent / 100 ? member : nullptr;
 }
 
 auto Group::FindEntry(std::string_view member) const -> const EndpointEntry* {
@@ -311,7 +323,8 @@
                      member.pool->Lent(), member.entry.slots,
                      member.latency.At(timers_.Now())});
   }
-  return OrderForRead(views, data_centre_, Milliseconds(task.route.target_ms));
+  return OrderForRead(views, site_.data_centre,
+                      Milliseconds(task.route.target_ms));
 }
 
 auto Group::DispatchRead(const TaskPtr& task) -> void {
--- a/kingcuplock/gateway/group.h
+++ b/kingcuplock/gateway/group.h
@@ -4,7 +4,7 @@
 /// belief about the primary, floors of reads, and the tasks that wait.
 ///
 /// Example:
-///   Group group(config, "dc-a", timers, out, log, ports);
+///   Group group(config, {"dc-a"}, timers, out, log, ports);
 ///   group.SetMembers(entries);
 ///   group.Submit(task);
 
@@ -41,11 +41,19 @@
   std::function<void()> changed;
 };
 
+/// Where an instance stands, and how the platform treats its members.
+struct GroupSite {
+  /// Own data centre.
+  std::string data_centre;
+  /// Time after which a leaving member gets no new work, whatever it costs.
+  Duration leaving{std::chrono::seconds(7)};
+};
+
 /// Not thread safe.
 class Group {
  public:
   Group(GroupConfig config,
-        std::string data_centre,
+        GroupSite site,
         TimerService& timers,
         GatewayOutbox& out,
         Outbox& log,
@@ -117,6 +125,7 @@
     EndpointEntry entry;
     std::shared_ptr<LinkPool> pool;
     LatencyAverage latency;
+    std::optional<Time> leaving_since;
     bool registered = true;
   };
   using Queue = AdmissionQueue<TaskPtr>;
@@ -171,7 +180,7 @@
   auto OnReachChanged(const std::string& member, Reach reach) -> void;
 
   GroupConfig config_;
-  std::string data_centre_;
+  GroupSite site_;
   TimerService& timers_;
   GatewayOutbox& out_;
   Outbox& log_;
