--- a/kingcuplock/gateway/gateway_reads_test.cc
+++ b/kingcuplock/gateway/gateway_reads_test.cc
@@ -87,6 +87,21 @@
   CHECK(MemberOf(world, read) != "by-m2");
 }
 
+// Fails when the answer to the ROLLBACK behind a read is taken for the read's.
+TEST_CASE("An answer that is not signed is never a read's") {
+  GatewayFixture world({.gateways = 1});
+  world.RunFor(kStart);
+  const auto client = world.OpenClient(0, "db-primary");
+  world.LoseAnswers("m1", 1);
+  const auto read = world.Say(client, "r1", StatementKind::kRead, "a");
+  world.RunFor(Milliseconds(200));
+  const auto* answer = world.AnswerTo(read);
+  REQUIRE(answer != nullptr);
+  REQUIRE(answer->IsOk());
+  CHECK(answer->signature == "by-m1");
+  CHECK(answer->rows.size() == 1);
+}
+
 // Fails without the patience of statements: three lost answers took every
 // connection to the member for good.
 TEST_CASE("Answers that never come free their connections") {
--- a/kingcuplock/gateway/session.cc
+++ b/kingcuplock/gateway/session.cc
@@ -342,6 +342,10 @@
 
 auto Session::OnPinnedAnswer(const StatementAnswer* answer) -> void {
   timers_.Cancel(std::exchange(pinned_deadline_, 0));
+  if (answer != nullptr && answer->IsOk() && !answer->IsSigned()) {
+    pinned_.pool->Discard(pinned_.link);
+    answer = nullptr;
+  }
   LogPinned(answer);
   const auto commits = current_.kind == StatementKind::kCommit;
   if (answer == nullptr) {
--- a/kingcuplock/gateway/task_runner.cc
+++ b/kingcuplock/gateway/task_runner.cc
@@ -158,6 +158,10 @@
   const auto& task = *attempt->task;
   const auto alone = task.opening == Opening::kNone;
   const auto writes = Writes(task.statement, task.prepared_ptr());
+  if (answer != nullptr && answer->IsOk() && !answer->IsSigned()) {
+    attempt->pool->Discard(attempt->link);
+    answer = nullptr;
+  }
   if (answer == nullptr) {
     if (alone && writes) {
       StatementAnswer unknown;
--- a/kingcuplock/statement/statement.h
+++ b/kingcuplock/statement/statement.h
@@ -118,6 +118,15 @@
   std::optional<MemberReport> status;
 
   auto IsOk() const -> bool { return error == StatementError::kNone; }
+
+  /// Returns whether a member vouches for it. A success of a read, write or
+  /// commit without it belongs to another statement: an answer was lost.
+  auto IsSigned() const -> bool {
+    return !signature.empty() && signature != kUnsigned;
+  }
+
+  /// Signature of statements that members do not vouch for.
+  static constexpr std::string_view kUnsigned = "-";
 };
 
 /// What a client opens its session with.
