An owner that was paused asks the primary before it sends again

The timer service now tells when it was advanced late while a timer was due, and neither the lease nor an older sample lets statements through until the primary was asked again. Ruled out: the sample's age alone, which checks only without a valid lease; asking a sample of every owner at all times would stop sending at a primary whose samples are slow.

--- a/kingcuplock/base/timer_service.cc
+++ b/kingcuplock/base/timer_service.cc
@@ -25,6 +25,9 @@
 
 void TimerService::AdvanceTo(Time now) {
   now_ = std::max(now_, now);
+  if (const auto due = NextDue(); due && now_ - *due >= kStall) {
+    last_stall_ = now_;
+  }
   while (!pending_.empty() && pending_.begin()->first.first <= now_) {
     auto node = pending_.extract(pending_.begin());
     due_.erase(node.key().second);
--- a/kingcuplock/base/timer_service.h
+++ b/kingcuplock/base/timer_service.h
@@ -57,13 +57,22 @@
   /// Now() is ignored.
   void AdvanceTo(Time now);
 
+  /// Returns the time of the last AdvanceTo() that came kStall or more after
+  /// the first due timer, as after a pause of the process; nullopt if none did.
+  auto LastStall() const -> std::optional<Time> { return last_stall_; }
+
   /// Returns when the next timer is due.
   auto NextDue() const -> std::optional<Time>;
 
  private:
   using Key = std::pair<Time, TimerId>;
 
+  /// Lateness in ms that counts as a stall: twice the interval of the samples
+  /// that an owner takes of its members, far above scheduling jitter.
+  static constexpr Milliseconds kStall{100};
+
   Time now_;
+  std::optional<Time> last_stall_;
   std::optional<Duration> wall_offset_;
   TimerId last_id_ = 0;
   std::map<Key, std::function<void()>> pending_;
--- a/kingcuplock/base/timer_service_test.cc
+++ b/kingcuplock/base/timer_service_test.cc
@@ -29,6 +29,19 @@
   CHECK_FALSE(fired);
 }
 
+TEST_CASE("A late advance is a stall only while a timer was due") {
+  TimerService timers;
+  timers.AdvanceTo(Time(Milliseconds(1000)));
+  CHECK_FALSE(timers.LastStall());
+  timers.After(Milliseconds(10), [] {});
+  timers.AdvanceTo(Time(Milliseconds(1100)));
+  CHECK_FALSE(timers.LastStall());
+  timers.After(Milliseconds(10), [] {});
+  timers.AdvanceTo(Time(Milliseconds(1300)));
+  timers.AdvanceTo(Time(Milliseconds(1310)));
+  CHECK(timers.LastStall() == Time(Milliseconds(1300)));
+}
+
 TEST_CASE("Time never goes back") {
   TimerService timers(Time(Milliseconds(100)));
   timers.AdvanceTo(Time(Milliseconds(50)));
--- a/kingcuplock/owner/group_leader.cc
+++ b/kingcuplock/owner/group_leader.cc
@@ -166,8 +166,11 @@
 }
 
 auto GroupLeader::MaySend() const -> bool {
-  return ports_.lease_is_valid() ||
-         timers_.Now() - primary_sampled_ <= kFreshSample;
+  const auto fresh = timers_.Now() - primary_sampled_ <= kFreshSample;
+  // The store may have dropped the lease during a pause of this process.
+  const auto stall = timers_.LastStall();
+  const auto asked_since = !stall || primary_sampled_ >= *stall;
+  return asked_since && (fresh || ports_.lease_is_valid());
 }
 
 void GroupLeader::NotePrimaryPlace(Time asked, LogPlace place) {
--- a/kingcuplock/owner/group_leader.h
+++ b/kingcuplock/owner/group_leader.h
@@ -111,8 +111,8 @@
   auto LeaseIsValid() const -> bool { return ports_.lease_is_valid(); }
 
   /// Returns whether statements may be sent to the primary: under a valid
-  /// lease, or when a fresh sample shows no later epoch. An owner that wakes
-  /// from a pause has neither until it has asked again.
+  /// lease, or when a fresh sample shows no later epoch. After a pause of the
+  /// process neither counts until the primary was asked again.
   auto MaySend() const -> bool;
 
   /// Returns whether writes are open.
--- a/proofs/fault_schedules/fault_schedules_test.cc
+++ b/proofs/fault_schedules/fault_schedules_test.cc
@@ -18,8 +18,9 @@
 }
 
 TEST_CASE("Schedules that once broke a promise keep it") {
-  // A paused owner that woke sent statements beside the new owner's.
-  for (const std::uint64_t seed : {849, 1425}) {
+  // A paused owner that woke sent statements beside the new owner's; in 6886
+  // it still counted its lease as valid.
+  for (const std::uint64_t seed : {849, 1425, 6886}) {
     const auto result = RunSchedule(seed);
     CHECK_MESSAGE(result.violations.empty(), Describe(result));
   }
