Instances take turns at a member that has not a connection for each; peers end their reports

Where instances outnumber connections, each gives its own back once a turn is over, so that one comes free within 100 ms for each that waits; the duty's holder keeps one. Reads use a free connection elsewhere before they open one.

Cause 2: a peer that was told of a group told it on for 3 s, and so did whom it told: the reports never ended. Now a peer answers them and spreads only what it did not know.

--- a/kingcuplock/gateway/gateway.cc
+++ b/kingcuplock/gateway/gateway.cc
@@ -51,7 +51,7 @@
           {[this](const std::string& group, const OwnerRecord& record) {
              OnDutyAcquired(group, record);
            },
-           [this](const std::string& group) { duties_.erase(group); },
+           [this](const std::string& group) { OnDutyLost(group); },
            [this](const std::string& group, const OwnerRecord& record) {
              const auto it = duties_.find(group);
              if (it != duties_.end() && record.owner == settings_.instance) {
@@ -323,9 +323,17 @@
   ports.holder = settings_.instance;
   duties_[group] = std::make_unique<PromotionDuty>(
       record.epoch, *it, std::move(ports), timers_, out_, shell_);
+  it->SetWatching(true);
   duties_[group]->Start();
 }
 
+auto Gateway::OnDutyLost(const std::string& group) -> void {
+  duties_.erase(group);
+  if (auto* it = FindGroup(group)) {
+    it->SetWatching(false);
+  }
+}
+
 auto Gateway::OnPromotionAnswered(std::int64_t id, PromotionOutcome outcome)
     -> void {
   for (auto& [group, duty] : duties_) {
--- a/kingcuplock/gateway/gateway.h
+++ b/kingcuplock/gateway/gateway.h
@@ -115,7 +115,7 @@
       -> void;
   auto OnPeerMessage(const std::string& peer, const PeerMessage& message)
       -> void;
-  auto BuildHeartbeat() -> Heartbeat;
+  auto BuildHeartbeat(std::span<const GroupReport> told = {}) -> Heartbeat;
   auto NoteHeartbeat(const Heartbeat& heartbeat) -> bool;
   auto TakeOffer(const RoutesOffer& offer, std::string_view source) -> void;
   auto BuildOffer() const -> RoutesOffer;
@@ -126,6 +126,7 @@
   // Duty to promote.
   auto OnDutyAcquired(const std::string& group, const OwnerRecord& record)
       -> void;
+  auto OnDutyLost(const std::string& group) -> void;
   auto PeersHeard(const std::string& group) const -> std::optional<Duration>;
   auto IsIsolated() const -> bool;
 
--- /dev/null
+++ b/kingcuplock/gateway/gateway_load_test.cc
@@ -0,0 +1,56 @@
+// Loads that clients put on a deployment, each by the name of its pattern.
+
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "testing/gateway_fixture.h"
+
+namespace kingcuplock {
+namespace {
+
+constexpr Milliseconds kStart{300};
+/// Longer than any deadline of the fixture's routes.
+constexpr Milliseconds kDrain{1000};
+
+// The pattern: more instances than connections that a member takes, each with a
+// little load. The load would fit on one connection.
+TEST_CASE("Every instance gets its turn where connections are fewer") {
+  constexpr std::size_t kInstances = 12;
+  GatewayFixture world({.gateways = kInstances, .group = {.connections = 8}});
+  world.RunFor(kStart);
+  std::vector<std::size_t> writers;
+  std::vector<std::size_t> readers;
+  for (std::size_t n = 0; n < kInstances; ++n) {
+    writers.push_back(world.OpenClient(n, "db-primary"));
+    readers.push_back(world.OpenClient(n, "db-bounded"));
+  }
+  for (auto round = 0; round < 12; ++round) {
+    for (std::size_t n = 0; n < kInstances; ++n) {
+      const auto id = std::to_string(round) + "-" + std::to_string(n);
+      world.Say(writers[n], "w" + id, StatementKind::kWrite, "a " + id);
+      world.Say(readers[n], "r" + id, StatementKind::kRead, "a");
+      world.RunFor(Milliseconds(20));
+    }
+  }
+  world.RunFor(kDrain);
+  CHECK(world.CountOk() == world.said().size());
+  CHECK(world.Check().empty());
+}
+
+// The pattern: many quiet hours after one change.
+TEST_CASE("Peers stop reporting a group once its change has spread") {
+  GatewayFixture world({.gateways = 4});
+  world.RunFor(kStart);
+  world.CrashMember("m1");
+  world.RunFor(Milliseconds(10'000));
+  CHECK(world.group().Promotions() == 1);
+  const auto before = world.Reports();
+  CHECK(before > 0);
+  world.RunFor(Milliseconds(20'000));
+  CHECK(world.Reports() == before);
+}
+
+}  // namespace
+}  // namespace kingcuplock
--- a/kingcuplock/gateway/gateway_peers.cc
+++ b/kingcuplock/gateway/gateway_peers.cc
@@ -9,7 +9,7 @@
 namespace {
 
 /// Time in ms for which heartbeats carry a group's state after a change or a
-/// peer's question.
+/// question of this instance.
 constexpr Milliseconds kSpreadFor{3000};
 /// Pause in ms within which changes of several groups share one heartbeat.
 constexpr Milliseconds kSpreadPause{5};
@@ -43,7 +43,7 @@
   if (const auto* heartbeat = std::get_if<Heartbeat>(&message)) {
     const auto wants = NoteHeartbeat(*heartbeat);
     inbound_peers_.insert(source);
-    shell_.Send(source, BuildHeartbeat());
+    shell_.Send(source, BuildHeartbeat(heartbeat->groups));
     peers_.OnInboundHeartbeat(*heartbeat);
     if (wants) {
       shell_.Send(source, RoutesWanted{settings_.instance});
@@ -86,7 +86,9 @@
   }
 }
 
-auto Gateway::BuildHeartbeat() -> Heartbeat {
+// Besides what this instance has to tell, it answers what a peer told. Only an
+// answer does: two peers would go on telling each other otherwise.
+auto Gateway::BuildHeartbeat(std::span<const GroupReport> told) -> Heartbeat {
   Heartbeat out;
   out.instance = settings_.instance;
   out.host = settings_.peer_listen.host;
@@ -96,8 +98,15 @@
   out.endpoints_known = static_cast<std::int64_t>(endpoints_.Size());
   std::erase_if(spread_,
                 [this](const auto& it) { return it.second < timers_.Now(); });
+  std::set<std::string> names;
+  for (const auto& it : told) {
+    names.insert(it.group);
+  }
   for (const auto& [name, until] : spread_) {
-    if (const auto* group = FindGroup(name)) {
+    names.insert(name);
+  }
+  for (const auto& it : names) {
+    if (const auto* group = FindGroup(it)) {
       out.groups.push_back(group->Report());
     }
   }
@@ -108,8 +117,6 @@
 auto Gateway::NoteHeartbeat(const Heartbeat& heartbeat) -> bool {
   for (const auto& it : heartbeat.groups) {
     reports_[heartbeat.instance][it.group] = {it, timers_.Now()};
-    // The answer to this heartbeat tells what is known here.
-    spread_[it.group] = timers_.Now() + kSpreadFor;
     if (auto* group = FindGroup(it.group)) {
       group->NoteReport(it);
     }
--- a/kingcuplock/gateway/group.cc
+++ b/kingcuplock/gateway/group.cc
@@ -14,6 +14,12 @@
 /// hold: load is uneven between instances, and the member refuses what is too
 /// much for it.
 constexpr std::int64_t kShareFactor = 2;
+/// Time in ms until a connection comes free for each instance that has none,
+/// where instances take turns: well within half of the shortest deadlines.
+constexpr Duration kTurnWait{Milliseconds(100)};
+/// Longest time in ms that one is held: a greeting costs a member as much as a
+/// statement, and an instance with an average load sends dozens in between.
+constexpr Duration kLongestTurn{Milliseconds(1500)};
 /// Connections that an instance may hold in any case: one for a transaction,
 /// one for single statements.
 constexpr std::int64_t kLeastConnections = 2;
@@ -84,10 +90,29 @@
 
 // ---------------------------------------------------------------- members
 
-auto Group::SetLimits(LinkPool& pool) const -> void {
+auto Group::Limits() const -> LinkLimits {
   const auto instances = std::max<std::int64_t>(instances_, 1);
   const auto even = config_.connections / instances;
-  pool.SetLimits(even - 1, std::max(even * kShareFactor, kLeastConnections));
+  LinkLimits limits;
+  limits.most = std::max(even * kShareFactor, kLeastConnections);
+  limits.kept = std::max<std::int64_t>(even - 1, 1);
+  if (const auto without = instances - config_.connections; without > 0) {
+    limits.kept = watching_ ? 1 : 0;
+    limits.turn = std::min<Duration>(kLongestTurn,
+                                     kTurnWait * config_.connections / without);
+  }
+  return limits;
+}
+
+auto Group::SetLimits() -> void {
+  for (auto& [name, member] : members_) {
+    member.pool->SetLimits(Limits());
+  }
+}
+
+auto Group::SetWatching(bool watching) -> void {
+  watching_ = watching;
+  SetLimits();
 }
 
 auto Group::SetConfig(const GroupConfig& config) -> void {
@@ -97,9 +122,7 @@
 
 auto Group::SetInstances(std::int64_t instances) -> void {
   instances_ = instances;
-  for (auto& [name, member] : members_) {
-    SetLimits(*member.pool);
-  }
+  SetLimits();
   // A queue is served by as many connections as this instance can count on.
   const auto share = config_.connections / std::max<std::int64_t>(instances, 1);
   primary_queue_.SetSlots(share);
@@ -138,7 +161,7 @@
                     guard_.Bind([this, name](Reach reach) {
                       OnReachChanged(name, reach);
                     })});
-  SetLimits(*member.pool);
+  member.pool->SetLimits(Limits());
   member.pool->Start();
   log_.Log(Event::kEndpointFound, {{"group", config_.name},
                                    {"member", name},
@@ -329,10 +352,8 @@
 
 auto Group::DispatchRead(const TaskPtr& task) -> void {
   const auto order = ReadOrder(*task);
-  for (const auto& it : order) {
-    if (TryStart(task, members_.at(it))) {
-      return;
-    }
+  if (StartRead(task, order)) {
+    return;
   }
   if (order.empty()) {
     DispatchToPrimary(task);
@@ -341,6 +362,25 @@
   Enqueue(read_queue_, task);
 }
 
+// Takes the first member that has a free connection and opens more to those
+// passed over: one only where instances take turns.
+auto Group::StartRead(const TaskPtr& task, std::span<const std::string> order)
+    -> bool {
+  const auto one_only = Limits().turn.has_value();
+  auto prepared = false;
+  for (const auto& it : order) {
+    auto& member = members_.at(it);
+    if (member.pool->HasFree(Lending::kStatement)) {
+      if (TryStart(task, member)) {
+        return true;
+      }
+    } else if (!prepared || !one_only) {
+      prepared = member.pool->Prepare(Lending::kStatement) || prepared;
+    }
+  }
+  return false;
+}
+
 auto Group::MayUsePrimary() const -> bool {
   if (!primary_.IsUsable()) {
     return false;
@@ -440,13 +480,6 @@
 auto Group::PumpReads() -> void {
   std::vector<Queue::Entry> late;
   for (auto n = read_queue_.Size(); n > 0; --n) {
-    const auto any_free =
-        std::any_of(members_.begin(), members_.end(), [](const auto& it) {
-          return it.second.pool->HasFree(Lending::kStatement);
-        });
-    if (!any_free) {
-      break;
-    }
     auto next = read_queue_.Pop(timers_.Now(), late);
     if (!next || next->item->done) {
       continue;
@@ -457,9 +490,7 @@
       break;
     }
     const auto order = ReadOrder(*task);
-    const auto started = std::any_of(
-        order.begin(), order.end(),
-        [&](const auto& it) { return TryStart(task, members_.at(it)); });
+    const auto started = StartRead(task, order);
     if (!started && !order.empty()) {
       read_queue_.PushFront(std::move(*next));
       break;
--- a/kingcuplock/gateway/group.h
+++ b/kingcuplock/gateway/group.h
@@ -68,6 +68,10 @@
   /// Sets how many instances share the members' connections.
   auto SetInstances(std::int64_t instances) -> void;
 
+  /// Keeps a connection to each member open whatever the share, as for the
+  /// holder of the promotion duty.
+  auto SetWatching(bool watching) -> void;
+
   /// Sets the members registered now. One that is missing gets no new work.
   auto SetMembers(std::span<const EndpointEntry> entries) -> void;
 
@@ -134,7 +138,8 @@
   auto AddMember(const EndpointEntry& entry) -> void;
   auto UpdateMember(Member& member, const EndpointEntry& entry) -> void;
   auto DropUnregistered() -> void;
-  auto SetLimits(LinkPool& pool) const -> void;
+  auto Limits() const -> LinkLimits;
+  auto SetLimits() -> void;
   auto FindMember(std::string_view member) -> Member*;
   auto PrimaryMember() -> Member*;
   template <typename Handler>
@@ -144,6 +149,8 @@
   auto Dispatch(const TaskPtr& task) -> void;
   auto DispatchToPrimary(const TaskPtr& task) -> void;
   auto DispatchRead(const TaskPtr& task) -> void;
+  auto StartRead(const TaskPtr& task, std::span<const std::string> order)
+      -> bool;
   auto PickFloor(const TaskPtr& task) -> bool;
   auto ReadOrder(const Task& task) const -> std::vector<std::string>;
   auto TryStart(const TaskPtr& task, Member& member) -> bool;
@@ -189,6 +196,7 @@
   TaskRunner runner_;
   std::map<std::string, Member, std::less<>> members_;
   std::int64_t instances_ = 1;
+  bool watching_ = false;
   PrimaryView primary_;
   AgeTracker ages_;
   Queue primary_queue_;
--- a/kingcuplock/gateway/link_pool.cc
+++ b/kingcuplock/gateway/link_pool.cc
@@ -25,11 +25,17 @@
 /// a connection for its limit: it drops those of dead instances after 3 s.
 constexpr Milliseconds kLimitPause{100};
 constexpr Milliseconds kLongestLimitPause{800};
+/// The pause in ms where instances take turns: several attempts within the time
+/// in which a connection is to come free.
+constexpr Milliseconds kTurnPause{30};
+/// Idle time in ms after which connections beyond those kept are closed.
+constexpr Milliseconds kBorrowedIdle{200};
 /// Idle time in ms after which connections beyond the first are closed: others
 /// may need the room, and those of an instance that loses power block it.
 constexpr Milliseconds kIdleClose{1500};
-/// Idle time in ms after which connections beyond those kept are closed.
-constexpr Milliseconds kBorrowedIdle{200};
+/// Idle time in ms after which a connection is given back before its turn is
+/// over: two gaps between the statements of an instance with an average load.
+constexpr Milliseconds kTurnIdle{500};
 /// Connections that the gateway's own statements may add to the limit.
 constexpr std::int64_t kControlExtra = 1;
 
@@ -47,15 +53,20 @@
 LinkPool::~LinkPool() {
   timers_.Cancel(reopen_timer_);
   timers_.Cancel(silence_timer_);
+  timers_.Cancel(idle_timer_);
   for (const auto& [id, link] : links_) {
     out_.Add(CloseStream{id});
   }
 }
 
-auto LinkPool::SetLimits(std::int64_t kept, std::int64_t most) -> void {
-  kept_ = std::max<std::int64_t>(kept, 1);
-  most_ = std::max(most, kept_);
+auto LinkPool::SetLimits(const LinkLimits& limits) -> void {
+  const auto grown = limits.kept > limits_.kept;
+  limits_ = limits;
+  limits_.most = std::max({limits.most, limits.kept, std::int64_t{1}});
   CloseSurplus();
+  if (grown) {
+    ReopenLater();
+  }
 }
 
 auto LinkPool::Start() -> void {
@@ -65,13 +76,13 @@
 }
 
 auto LinkPool::MayPin() const -> bool {
-  return pinned_ < std::max<std::int64_t>(most_ - 1, 1);
+  return pinned_ < std::max<std::int64_t>(limits_.most - 1, 1);
 }
 
 auto LinkPool::MayOpen(Lending lending) const -> bool {
   const auto extra = lending == Lending::kControl ? kControlExtra : 0;
   return !retired_ && timers_.Now() >= no_opening_before_ &&
-         static_cast<std::int64_t>(links_.size()) < most_ + extra;
+         static_cast<std::int64_t>(links_.size()) < limits_.most + extra;
 }
 
 auto LinkPool::HasFree(Lending lending) const -> bool {
@@ -102,9 +113,7 @@
     }
   }
   if (best == 0) {
-    if (MayOpen(lending) && opening_ < lent_ + 1) {
-      OpenOne();
-    }
+    Prepare(lending);
     return 0;
   }
   auto& link = links_.at(best);
@@ -115,6 +124,13 @@
   return best;
 }
 
+auto LinkPool::Prepare(Lending lending) -> bool {
+  if (MayOpen(lending) && opening_ < lent_ + 1) {
+    OpenOne();
+  }
+  return opening_ > 0;
+}
+
 auto LinkPool::SetUp(ConnectionId id,
                      const SessionState& session,
                      const PreparedStatement* prepared) -> std::string {
@@ -164,8 +180,8 @@
   pinned_ -= link.lending == Lending::kTransaction ? 1 : 0;
   link.state = State::kIdle;
   link.idle_since = timers_.Now();
-  CloseSurplus();
   ports_.freed();
+  CloseSurplus();
 }
 
 auto LinkPool::Discard(ConnectionId id) -> void {
@@ -269,17 +285,20 @@
     auto& link = links_.at(id);
     link.state = State::kIdle;
     link.idle_since = timers_.Now();
+    link.greeted = link.idle_since;
     limit_pause_ = Duration::zero();
     --opening_;
-    CloseSurplus();
     ports_.freed();
+    CloseSurplus();
     return;
   }
   out_.Add(CloseStream{id});
   Remove(id);
   if (answer.error == StatementError::kTooManyConnections) {
-    limit_pause_ =
-        std::clamp<Duration>(2 * limit_pause_, kLimitPause, kLongestLimitPause);
+    limit_pause_ = limits_.turn
+                       ? Duration(kTurnPause)
+                       : std::clamp<Duration>(2 * limit_pause_, kLimitPause,
+                                              kLongestLimitPause);
     no_opening_before_ = timers_.Now() + limit_pause_;
     reopen_pause_ = limit_pause_;
     // Tasks that wait ask for a connection again then.
@@ -324,21 +343,38 @@
   reopen_pause_ = std::clamp<Duration>(2 * pause, kFirstPause, kLongestPause);
   reopen_timer_ = timers_.After(pause, [this] {
     reopening_ = false;
-    if (!retired_ && links_.empty()) {
+    if (retired_ || !links_.empty()) {
+      return;
+    }
+    if (limits_.kept > 0 || reach_ != Reach::kReached) {
       OpenOne();
+    } else {
+      // Tasks that wait ask for a connection again.
+      ports_.freed();
     }
   });
 }
 
-auto LinkPool::CloseSurplus() -> void {
+// Returns whether an idle connection goes while the pool has `left`.
+auto LinkPool::IsSurplus(const Link& link, std::int64_t left) const -> bool {
   const auto now = timers_.Now();
+  const auto idle = now - link.idle_since;
+  if (retired_ || left > limits_.most) {
+    return true;
+  }
+  if (limits_.turn) {
+    const auto over = now - link.greeted >= *limits_.turn;
+    return left > limits_.kept && (over || idle >= kTurnIdle);
+  }
+  return (left > 1 && idle > kIdleClose) ||
+         (left > limits_.kept && idle > kBorrowedIdle);
+}
+
+auto LinkPool::CloseSurplus() -> void {
   std::vector<ConnectionId> surplus;
   auto left = static_cast<std::int64_t>(links_.size());
   for (const auto& [id, link] : links_) {
-    const auto idle = now - link.idle_since;
-    const auto old = (left > 1 && idle > kIdleClose) ||
-                     (left > kept_ && idle > kBorrowedIdle);
-    if (link.state == State::kIdle && (retired_ || left > most_ || old)) {
+    if (link.state == State::kIdle && IsSurplus(link, left)) {
       surplus.push_back(id);
       --left;
     }
@@ -347,6 +383,30 @@
     out_.Add(CloseStream{id});
     Remove(id);
   }
+  CloseIdleLater();
+}
+
+// Where instances take turns, others wait for what this one does not use.
+auto LinkPool::CloseIdleLater() -> void {
+  if (!limits_.turn || idle_timer_ != 0) {
+    return;
+  }
+  std::optional<Time> due;
+  for (const auto& [id, link] : links_) {
+    if (link.state == State::kIdle) {
+      const auto over = std::min<Time>(link.greeted + *limits_.turn,
+                                       link.idle_since + kTurnIdle);
+      due = std::min(due.value_or(over), over);
+    }
+  }
+  const auto surplus = static_cast<std::int64_t>(links_.size()) > limits_.kept;
+  if (!due || !surplus) {
+    return;
+  }
+  idle_timer_ = timers_.After(*due - timers_.Now(), [this] {
+    idle_timer_ = 0;
+    CloseSurplus();
+  });
 }
 
 auto LinkPool::OldestUnanswered() const -> std::optional<Time> {
--- a/kingcuplock/gateway/link_pool.h
+++ b/kingcuplock/gateway/link_pool.h
@@ -1,13 +1,13 @@
 #pragma once
 
 /// Connections to one member. Each is lent to one statement or transaction at a
-/// time; a connection whose session set-up fits best goes first. The pool keeps
-/// one connection open at all times, which also tells whether the member can be
-/// reached, and tells a dead member from a dead connection by a fresh one.
+/// time; a connection whose session set-up fits best goes first. The pool tells
+/// a dead member from a dead connection by a fresh one. As long as it keeps
+/// connections while idle, these also tell whether the member can be reached.
 ///
 /// Example:
 ///   LinkPool pool(entry, timers, out, {.freed = ..., .reach_changed = ...});
-///   pool.SetLimits(2, 4);
+///   pool.SetLimits({.kept = 2, .most = 4});
 ///   if (auto link = pool.Acquire(session, nullptr, false)) {
 ///     pool.Run(link, statement, callback);
 ///   }
@@ -39,6 +39,17 @@
   std::function<void(Reach)> reach_changed;
 };
 
+/// How many connections an instance may hold to one member.
+struct LinkLimits {
+  /// Connections that stay open while idle.
+  std::int64_t kept = 1;
+  /// Connections in all, while the member takes them.
+  std::int64_t most = 1;
+  /// Age at which others are given back after a statement, where instances take
+  /// turns as there is not a connection for each.
+  std::optional<Duration> turn = std::nullopt;
+};
+
 /// How a connection is lent.
 enum class Lending {
   /// For one statement.
@@ -60,9 +71,8 @@
   LinkPool(const LinkPool&) = delete;
   auto operator=(const LinkPool&) -> LinkPool& = delete;
 
-  /// Sets how many connections this instance may hold idle, and how many in all
-  /// while the member takes them.
-  auto SetLimits(std::int64_t kept, std::int64_t most) -> void;
+  /// Sets how many connections this instance may hold.
+  auto SetLimits(const LinkLimits& limits) -> void;
 
   /// Opens the first connection.
   auto Start() -> void;
@@ -73,6 +83,10 @@
                const PreparedStatement* prepared,
                Lending lending) -> ConnectionId;
 
+  /// Opens another connection if the limits allow; returns whether one is on
+  /// its way.
+  auto Prepare(Lending lending) -> bool;
+
   /// Sends the set-up that `session` needs ahead of its next statement; returns
   /// the name of `prepared` on the connection.
   auto SetUp(ConnectionId link,
@@ -128,6 +142,8 @@
     LinkState set_up;
     std::deque<Pending> pending;
     Time idle_since{};
+    /// When the member's greeting came.
+    Time greeted{};
   };
 
   auto OpenOne() -> void;
@@ -138,6 +154,8 @@
   auto MarkReach(Reach reach) -> void;
   auto ReopenLater() -> void;
   auto CloseSurplus() -> void;
+  auto CloseIdleLater() -> void;
+  auto IsSurplus(const Link& link, std::int64_t left) const -> bool;
   auto WatchSilence() -> void;
   auto CheckSilence() -> void;
   auto DiscardOverdue() -> void;
@@ -149,8 +167,7 @@
   LinkPoolPorts ports_;
   LifeGuard guard_;
   std::map<ConnectionId, Link> links_;
-  std::int64_t kept_ = 1;
-  std::int64_t most_ = 1;
+  LinkLimits limits_;
   std::int64_t lent_ = 0;
   std::int64_t pinned_ = 0;
   std::int64_t opening_ = 0;
@@ -162,6 +179,7 @@
   Duration reopen_pause_{};
   TimerId reopen_timer_ = 0;
   bool reopening_ = false;
+  TimerId idle_timer_ = 0;
   TimerId silence_timer_ = 0;
   bool retired_ = false;
 };
--- a/kingcuplock/gateway/link_pool_test.cc
+++ b/kingcuplock/gateway/link_pool_test.cc
@@ -40,7 +40,7 @@
 
 TEST_CASE("An address that accepts and resets counts as refused") {
   PoolWorld world;
-  world.pool.SetLimits(1, 2);
+  world.pool.SetLimits({.kept = 1, .most = 2});
   world.pool.Start();
   const auto first = world.Opened();
   REQUIRE(first.size() == 1);
@@ -58,7 +58,7 @@
 
 TEST_CASE("Silence is told from a dead connection by a fresh one") {
   PoolWorld world;
-  world.pool.SetLimits(1, 2);
+  world.pool.SetLimits({.kept = 1, .most = 2});
   world.pool.Start();
   const auto link = world.Opened().at(0);
   world.Greet(link);
@@ -76,7 +76,7 @@
 
 TEST_CASE("A member at its limit is asked again at growing pauses") {
   PoolWorld world;
-  world.pool.SetLimits(2, 4);
+  world.pool.SetLimits({.kept = 2, .most = 4});
   world.pool.Start();
   auto link = world.Opened().at(0);
   auto asked = 0;
@@ -97,7 +97,7 @@
 
 TEST_CASE("Transactions leave one connection for single statements") {
   PoolWorld world;
-  world.pool.SetLimits(2, 2);
+  world.pool.SetLimits({.kept = 2, .most = 2});
   world.pool.Start();
   world.Greet(world.Opened().at(0));
   CHECK(world.pool.Acquire({}, nullptr, Lending::kTransaction) != 0);
@@ -109,7 +109,7 @@
 
 TEST_CASE("Connections that were borrowed close soon") {
   PoolWorld world;
-  world.pool.SetLimits(1, 4);
+  world.pool.SetLimits({.kept = 1, .most = 4});
   world.pool.Start();
   world.Greet(world.Opened().at(0));
   const auto first = world.pool.Acquire({}, nullptr, Lending::kStatement);
@@ -123,5 +123,51 @@
   CHECK(world.pool.Size() == 1);
 }
 
+TEST_CASE("A pool that keeps none closes its last connection once idle") {
+  PoolWorld world;
+  world.pool.SetLimits({.kept = 0, .most = 2, .turn = Milliseconds(1500)});
+  world.pool.Start();
+  world.Greet(world.Opened().at(0));
+  world.Advance(Milliseconds(500));
+  CHECK(world.pool.Size() == 0);
+  world.Advance(Milliseconds(2000));
+  CHECK(world.Opened().empty());
+  CHECK(world.pool.Prepare(Lending::kStatement));
+  const auto again = world.Opened();
+  REQUIRE(again.size() == 1);
+  // A member that does not answer is tried until it does.
+  world.pool.OnClosed(again[0], Reach::kRefused);
+  world.Advance(Milliseconds(100));
+  CHECK(world.Opened().size() == 1);
+}
+
+TEST_CASE("A busy connection is given back once its turn is over") {
+  PoolWorld world;
+  world.pool.SetLimits({.kept = 0, .most = 2, .turn = Milliseconds(1500)});
+  world.pool.Start();
+  world.Greet(world.Opened().at(0));
+  auto served = 0;
+  while (world.pool.Size() > 0) {
+    const auto link = world.pool.Acquire({}, nullptr, Lending::kStatement);
+    REQUIRE(link != 0);
+    world.Advance(Milliseconds(100));
+    world.pool.Release(link);
+    ++served;
+  }
+  CHECK(served == 15);
+}
+
+TEST_CASE("A pool that is to keep a connection again opens it") {
+  PoolWorld world;
+  world.pool.SetLimits({.kept = 0, .most = 2, .turn = Milliseconds(1500)});
+  world.pool.Start();
+  world.Greet(world.Opened().at(0));
+  world.Advance(Milliseconds(500));
+  REQUIRE(world.pool.Size() == 0);
+  world.pool.SetLimits({.kept = 1, .most = 2});
+  world.Advance(Milliseconds(50));
+  CHECK(world.Opened().size() == 1);
+}
+
 }  // namespace
 }  // namespace kingcuplock
--- a/testing/gateway_fixture.cc
+++ b/testing/gateway_fixture.cc
@@ -419,6 +419,9 @@
   if (found == links.end() || !nodes_[found->second.first]->up) {
     return;
   }
+  if (const auto* beat = std::get_if<Heartbeat>(&send.message)) {
+    reports_ += beat->groups.size();
+  }
   const auto [far, id] = found->second;
   MessageArrived event;
   event.connection = id;
--- a/testing/gateway_fixture.h
+++ b/testing/gateway_fixture.h
@@ -117,6 +117,8 @@
   auto Now() const -> Time { return timers_.Now(); }
   /// Statements that members were sent without a client's id.
   auto OwnStatements() const -> int { return own_statements_; }
+  /// Reports about the group that gateways sent each other.
+  auto Reports() const -> std::size_t { return reports_; }
   /// Fencing tokens of all orders, in the order of sending.
   auto Fences() const -> const std::vector<std::int64_t>& { return fences_; }
 
@@ -195,6 +197,7 @@
   std::optional<Duration> order_late_;
   std::map<std::string, std::string> put_;
   int own_statements_ = 0;
+  std::size_t reports_ = 0;
   std::vector<std::int64_t> fences_;
   ConnectionId last_client_ = 0;
 };
