--- a/kingcuplock/gateway/gateway_outcome_test.cc
+++ b/kingcuplock/gateway/gateway_outcome_test.cc
@@ -14,11 +14,28 @@
   world.RunFor(kAnswer);
 }
 
+/// One gateway that knows its members, and a client of the primary.
+struct OneClient {
+  GatewayFixture world{{.gateways = 1}};
+  std::size_t client = 0;
+
+  OneClient() {
+    world.RunFor(kStart);
+    client = world.OpenClient(0, "db-primary");
+  }
+
+  /// Begins a transaction and writes once in it.
+  auto BeginAndWrite() -> void {
+    Begin(world, client, "b1");
+    world.Say(client, "w1", StatementKind::kWrite, "a 1");
+    world.RunFor(kAnswer);
+  }
+};
+
 TEST_CASE(
     "A write whose answer is lost has an unknown outcome, and runs once") {
-  GatewayFixture world({.gateways = 1});
-  world.RunFor(kStart);
-  const auto client = world.OpenClient(0, "db-primary");
+  OneClient one;
+  auto& [world, client] = one;
   world.LoseAnswers("m1", 1);
   const auto write = world.Say(client, "w1", StatementKind::kWrite, "a 1");
   world.RunFor(Milliseconds(1000));
@@ -28,9 +45,8 @@
 }
 
 TEST_CASE("A write on a connection that ends is unknown at once") {
-  GatewayFixture world({.gateways = 1});
-  world.RunFor(kStart);
-  const auto client = world.OpenClient(0, "db-primary");
+  OneClient one;
+  auto& [world, client] = one;
   world.LoseAnswers("m1", 1);
   const auto write = world.Say(client, "w1", StatementKind::kWrite, "a 1");
   world.RunFor(Milliseconds(10));
@@ -41,12 +57,9 @@
 }
 
 TEST_CASE("A transaction whose member dies is aborted, nothing is kept") {
-  GatewayFixture world({.gateways = 1});
-  world.RunFor(kStart);
-  const auto client = world.OpenClient(0, "db-primary");
-  Begin(world, client, "b1");
-  world.Say(client, "w1", StatementKind::kWrite, "a 1");
-  world.RunFor(kAnswer);
+  OneClient one;
+  auto& [world, client] = one;
+  one.BeginAndWrite();
   world.LoseAnswers("m1", 1);
   const auto second = world.Say(client, "w2", StatementKind::kWrite, "b 2");
   world.RunFor(Milliseconds(8));
@@ -65,12 +78,9 @@
 TEST_CASE(
     "A statement of a transaction whose answer is lost ends it in time "
     "for another try") {
-  GatewayFixture world({.gateways = 1});
-  world.RunFor(kStart);
-  const auto client = world.OpenClient(0, "db-primary");
-  Begin(world, client, "b1");
-  world.Say(client, "w1", StatementKind::kWrite, "a 1");
-  world.RunFor(kAnswer);
+  OneClient one;
+  auto& [world, client] = one;
+  one.BeginAndWrite();
   world.LoseAnswers("m1", 1);
   const auto second = world.Say(client, "w2", StatementKind::kWrite, "b 2");
   world.RunFor(Milliseconds(350));
@@ -80,12 +90,9 @@
 }
 
 TEST_CASE("A commit whose answer is lost is unknown if it wrote") {
-  GatewayFixture world({.gateways = 1});
-  world.RunFor(kStart);
-  const auto client = world.OpenClient(0, "db-primary");
-  Begin(world, client, "b1");
-  world.Say(client, "w1", StatementKind::kWrite, "a 1");
-  world.RunFor(kAnswer);
+  OneClient one;
+  auto& [world, client] = one;
+  one.BeginAndWrite();
   world.LoseAnswers("m1", 1);
   const auto commit = world.Say(client, "c1", StatementKind::kCommit);
   world.RunFor(Milliseconds(10));
@@ -115,9 +122,8 @@
 }
 
 TEST_CASE("A transaction that rests too long is rolled back and says so") {
-  GatewayFixture world({.gateways = 1});
-  world.RunFor(kStart);
-  const auto client = world.OpenClient(0, "db-primary");
+  OneClient one;
+  auto& [world, client] = one;
   Begin(world, client, "b1");
   world.Say(client, "w1", StatementKind::kWrite, "a 1");
   world.RunFor(Milliseconds(3500));
@@ -178,9 +184,8 @@
 }
 
 TEST_CASE("Statements out of order get an error and the session goes on") {
-  GatewayFixture world({.gateways = 1});
-  world.RunFor(kStart);
-  const auto client = world.OpenClient(0, "db-primary");
+  OneClient one;
+  auto& [world, client] = one;
   const auto commit = world.Say(client, "c1", StatementKind::kCommit);
   const auto garbage = world.Say(client, "x1", StatementKind::kMalformed);
   const auto execute = world.Say(client, "e1", StatementKind::kExecute, "a");
--- a/kingcuplock/gateway/gateway_reads_test.cc
+++ b/kingcuplock/gateway/gateway_reads_test.cc
@@ -13,12 +13,20 @@
   return answer != nullptr && answer->IsOk() ? answer->signature : "none";
 }
 
+/// Writes to the primary from `gateway`, and waits for the answer.
+auto Write(GatewayFixture& world, std::size_t gateway, std::string id)
+    -> std::size_t {
+  const auto client = world.OpenClient(gateway, "db-primary");
+  const auto write =
+      world.Say(client, std::move(id), StatementKind::kWrite, "a 1");
+  world.RunFor(kAnswer);
+  return write;
+}
+
 TEST_CASE("A bounded read is served by the replica of the data centre") {
   GatewayFixture world({.gateways = 2});
   world.RunFor(kStart);
-  const auto writer = world.OpenClient(1, "db-primary");
-  world.Say(writer, "w1", StatementKind::kWrite, "a 1");
-  world.RunFor(kAnswer);
+  Write(world, 1, "w1");
   const auto reader = world.OpenClient(1, "db-bounded");
   const auto read = world.Say(reader, "r1", StatementKind::kRead, "a");
   world.RunFor(kAnswer);
@@ -76,9 +84,7 @@
 TEST_CASE("A read whose answer is lost is sent to another member") {
   GatewayFixture world({.gateways = 2});
   world.RunFor(kStart);
-  const auto writer = world.OpenClient(1, "db-primary");
-  world.Say(writer, "w1", StatementKind::kWrite, "a 1");
-  world.RunFor(kAnswer);
+  Write(world, 1, "w1");
   const auto reader = world.OpenClient(1, "db-bounded");
   world.LoseAnswers("m2", 1);
   const auto read = world.Say(reader, "r1", StatementKind::kRead, "a");
@@ -113,9 +119,7 @@
     world.Say(client, "w" + std::to_string(n), StatementKind::kWrite, "a 1");
   }
   world.RunFor(Milliseconds(2500));
-  const auto client = world.OpenClient(0, "db-primary");
-  const auto write = world.Say(client, "w9", StatementKind::kWrite, "a 9");
-  world.RunFor(kAnswer);
+  const auto write = Write(world, 0, "w9");
   CHECK(MemberOf(world, write) == "by-m1");
   CHECK(world.Check().empty());
 }
--- a/kingcuplock/gateway/group.h
+++ b/kingcuplock/gateway/group.h
@@ -184,6 +184,8 @@
   auto Locate() -> void;
   auto OnLocated(const std::string& member, const MemberReport& status) -> void;
   auto PrimaryChanged(std::string_view source) -> void;
+  // Returns the time in ms since a member last answered, -1 for never.
+  auto HeardMs(const std::string& member) const -> std::int64_t;
   auto OnReachChanged(const std::string& member, Reach reach) -> void;
 
   GroupConfig config_;
--- a/kingcuplock/gateway/group_outcome.cc
+++ b/kingcuplock/gateway/group_outcome.cc
@@ -332,9 +332,11 @@
 }
 
 auto Group::OnReachChanged(const std::string& member, Reach reach) -> void {
+  const auto heard = HeardMs(member);
   log_.Log(Event::kEndpointReach, {{"group", config_.name},
                                    {"member", member},
-                                   {"reach", std::string(ToString(reach))}});
+                                   {"reach", std::string(ToString(reach))},
+                                   {"heard_ms", std::to_string(heard)}});
   if (member == primary_.member()) {
     ports_.changed();
     RefuseHopeless();
@@ -461,12 +463,18 @@
     return report;
   }
   report.reach = it->second.pool->reach();
-  if (const auto heard = it->second.pool->LastHeard()) {
-    report.heard_ms =
-        std::chrono::duration_cast<Milliseconds>(timers_.Now() - *heard)
-            .count();
-  }
+  report.heard_ms = HeardMs(it->first);
   return report;
 }
 
+auto Group::HeardMs(const std::string& member) const -> std::int64_t {
+  const auto it = members_.find(member);
+  const auto heard =
+      it == members_.end() ? std::nullopt : it->second.pool->LastHeard();
+  return heard
+             ? std::chrono::duration_cast<Milliseconds>(timers_.Now() - *heard)
+                   .count()
+             : -1;
+}
+
 }  // namespace kingcuplock
--- a/kingcuplock/gateway/promotion_duty.cc
+++ b/kingcuplock/gateway/promotion_duty.cc
@@ -226,6 +226,7 @@
             {"primary", group_.primary().member()},
             {"reason", reason_},
             {"outcome", "candidate chosen"},
+            {"suspected_ms", std::to_string(SuspectedMs())},
             {"member", choice.candidate.member},
             {"heard", std::to_string(hearings_.size())},
             {"position", std::to_string(choice.candidate.last_entry.position)},
@@ -233,6 +234,12 @@
   Order(choice.candidate.member);
 }
 
+auto PromotionDuty::SuspectedMs() const -> std::int64_t {
+  const auto since = suspected_since_.value_or(timers_.Now());
+  return std::chrono::duration_cast<Milliseconds>(timers_.Now() - since)
+      .count();
+}
+
 auto PromotionDuty::Order(const std::string& member) -> void {
   phase_ = Phase::kOrdering;
   ordered_member_ = member;
--- a/kingcuplock/gateway/promotion_duty.h
+++ b/kingcuplock/gateway/promotion_duty.h
@@ -77,6 +77,8 @@
                const std::string& member,
                const MemberReport* status) -> void;
   auto Choose() -> void;
+  // Returns the time in ms since the reason to promote was first seen.
+  auto SuspectedMs() const -> std::int64_t;
   auto Order(const std::string& member) -> void;
   auto Abandon(std::string_view why) -> void;
   auto LogAbandoned(std::string_view why) -> void;
--- a/testing/gateway_fixture.h
+++ b/testing/gateway_fixture.h
@@ -117,6 +117,8 @@
   auto Now() const -> Time { return timers_.Now(); }
   /// Statements that members were sent without a client's id.
   auto OwnStatements() const -> int { return own_statements_; }
+  /// Log lines of all gateways, in order.
+  auto logs() const -> const std::vector<LogAction>& { return logs_; }
   /// Reports about the group that gateways sent each other.
   auto Reports() const -> std::size_t { return reports_; }
   /// Fencing tokens of all orders, in the order of sending.
@@ -198,6 +200,7 @@
   std::map<std::string, std::string> put_;
   int own_statements_ = 0;
   std::size_t reports_ = 0;
+  std::vector<LogAction> logs_;
   std::vector<std::int64_t> fences_;
   ConnectionId last_client_ = 0;
 };
