A silent holder's duty is taken over ahead of its lease

An instance that sees the primary lost, hears no successor for 500 ms and no word of the holder, but of another peer, takes the duty: one place in the order of succession every 100 ms, by compare-and-swap. Orders stay fenced by the epoch, so that a holder that wakes is refused. Ruled out: shorter leases (calls to the store); tokens handed out ahead (a holder that is dead can't).

LongestGap in gateway_failover_test counted from the first write after the crash and so measured nothing: it counts from the crash now.

--- a/kingcuplock/base/log.cc
+++ b/kingcuplock/base/log.cc
@@ -99,6 +99,7 @@
     {kPromotionWeighed, kInfo, "promotion weighed"},
     {kPromotionOrdered, kWarning, "promotion ordered"},
     {kPromotionAnswered, kInfo, "order to promote answered"},
+    {kDutyTakenOver, kWarning, "duty taken from a silent holder"},
     {kRoutesInForce, kInfo, "route table in force"},
     {kRoutesRejected, kError, "route table rejected"},
     {kSettingsReloaded, kInfo, "settings read again"},
--- a/kingcuplock/base/log.h
+++ b/kingcuplock/base/log.h
@@ -68,6 +68,7 @@
   kPromotionWeighed = 730,
   kPromotionOrdered = 731,
   kPromotionAnswered = 732,
+  kDutyTakenOver = 733,
   kRoutesInForce = 740,
   kRoutesRejected = 741,
   kSettingsReloaded = 742,
--- a/kingcuplock/gateway/gateway.cc
+++ b/kingcuplock/gateway/gateway.cc
@@ -224,7 +224,7 @@
         it,
         GroupSite{settings_.data_centre, Milliseconds(settings_.leaving_ms)},
         timers_, out_, shell_,
-        GroupPorts{[this, name = it.name] { SpreadGroup(name); }});
+        GroupPorts{[this, name = it.name] { OnGroupChanged(name); }});
   }
   duties_kept_.SetDatabases(names);
   // The news go on from peer to peer.
@@ -282,98 +282,25 @@
   });
 }
 
-auto Gateway::ApplyInstances() -> void {
-  // Links lead to some instances only; the others are known by registration.
+// Links lead to some instances only; the others are known by registration.
+auto Gateway::InstanceNamesKnown() const -> std::vector<std::string> {
   auto names = peers_.Live();
   for (const auto& [key, entry] : instances_) {
     names.push_back(entry.name);
   }
   std::sort(names.begin(), names.end());
   names.erase(std::unique(names.begin(), names.end()), names.end());
+  return names;
+}
+
+auto Gateway::ApplyInstances() -> void {
+  const auto names = InstanceNamesKnown();
   duties_kept_.SetLiveInstances(names);
   for (auto& [name, group] : groups_) {
     group->SetInstances(static_cast<std::int64_t>(names.size()));
   }
 }
 
-// ------------------------------------------------------------------ duty
-
-auto Gateway::OnDutyAcquired(const std::string& group,
-                             const OwnerRecord& record) -> void {
-  auto* it = FindGroup(group);
-  if (it == nullptr) {
-    return;
-  }
-  PromotionPorts ports;
-  ports.peers_heard = [this](const std::string& name) {
-    return PeersHeard(name);
-  };
-  ports.ask_peers = [this](const std::string& name) { SpreadGroup(name); };
-  ports.isolated = [this] { return IsIsolated(); };
-  ports.renew_epoch = [this](const std::string& name) {
-    duties_kept_.RaiseEpoch(name, [this, name](bool written) {
-      const auto duty = duties_.find(name);
-      const auto* newest = duties_kept_.RecordOf(name);
-      if (written && duty != duties_.end() && newest != nullptr) {
-        duty->second->SetEpoch(newest->epoch);
-      }
-    });
-  };
-  ports.next_id = [this] { return ++last_order_; };
-  ports.holder = settings_.instance;
-  duties_[group] = std::make_unique<PromotionDuty>(
-      record.epoch, *it, std::move(ports), timers_, out_, shell_);
-  it->SetWatching(true);
-  duties_[group]->Start();
-}
-
-auto Gateway::OnDutyLost(const std::string& group) -> void {
-  duties_.erase(group);
-  if (auto* it = FindGroup(group)) {
-    it->SetWatching(false);
-  }
-}
-
-auto Gateway::OnPromotionAnswered(std::int64_t id, PromotionOutcome outcome)
-    -> void {
-  for (auto& [group, duty] : duties_) {
-    if (duty->OnAnswered(id, outcome)) {
-      return;
-    }
-  }
-}
-
-auto Gateway::PeersHeard(const std::string& group) const
-    -> std::optional<Duration> {
-  std::optional<Duration> least;
-  const auto it = groups_.find(group);
-  if (it == groups_.end()) {
-    return std::nullopt;
-  }
-  // Where no primary is known here, one that a peer reaches counts.
-  const auto& primary = it->second->primary();
-  for (const auto& [peer, by_group] : reports_) {
-    const auto heard = by_group.find(group);
-    if (heard == by_group.end()) {
-      continue;
-    }
-    const auto& report = heard->second.report;
-    const auto other = primary.IsUsable() && report.primary != primary.member();
-    if (other || report.heard_ms < 0 || report.primary.empty()) {
-      continue;
-    }
-    const auto age =
-        timers_.Now() - heard->second.arrived + Milliseconds(report.heard_ms);
-    least = std::min(least.value_or(age), age);
-  }
-  return least;
-}
-
-auto Gateway::IsIsolated() const -> bool {
-  const auto others = instances_.size() > 1;
-  return others && peers_.Live().size() <= 1 && !store_.IsReachable();
-}
-
 auto Gateway::Gauges() const -> GatewayGauges {
   GatewayGauges out;
   out.sessions = sessions_.size();
--- a/kingcuplock/gateway/gateway.h
+++ b/kingcuplock/gateway/gateway.h
@@ -26,6 +26,7 @@
 #include "kingcuplock/gateway/endpoint_directory.h"
 #include "kingcuplock/gateway/gateway_outbox.h"
 #include "kingcuplock/gateway/group.h"
+#include "kingcuplock/gateway/holder_watch.h"
 #include "kingcuplock/gateway/promotion_duty.h"
 #include "kingcuplock/gateway/route_keeper.h"
 #include "kingcuplock/gateway/session.h"
@@ -107,6 +108,7 @@
   auto OnEndpointItem(const StoreItem& item, bool deleted) -> void;
   auto OnInstanceItem(const StoreItem& item, bool deleted) -> void;
   auto ApplyInstances() -> void;
+  auto InstanceNamesKnown() const -> std::vector<std::string>;
   auto FindGroup(const std::string& group) -> Group*;
 
   // Peers.
@@ -127,6 +129,9 @@
   auto OnDutyAcquired(const std::string& group, const OwnerRecord& record)
       -> void;
   auto OnDutyLost(const std::string& group) -> void;
+  auto OnGroupChanged(const std::string& group) -> void;
+  auto WatchHolder(const std::string& group) -> void;
+  auto CheckHolder(const std::string& group) -> void;
   auto PeersHeard(const std::string& group) const -> std::optional<Duration>;
   auto IsIsolated() const -> bool;
 
@@ -157,6 +162,7 @@
     Time arrived{};
   };
   std::map<std::string, std::map<std::string, HeardReport>> reports_;
+  HolderWatch holders_;
   /// Groups whose state heartbeats carry, and until when.
   std::map<std::string, Time> spread_;
   bool spreading_ = false;
--- /dev/null
+++ b/kingcuplock/gateway/gateway_duty.cc
@@ -0,0 +1,149 @@
+// The duty to promote: which groups this instance holds it for, and when it
+// takes one over.
+
+#include <algorithm>
+#include <utility>
+
+#include "kingcuplock/gateway/gateway.h"
+#include "kingcuplock/routing/rendezvous.h"
+
+namespace kingcuplock {
+namespace {
+
+/// Pause in ms between instances that may take a lost holder's duty, so that
+/// one of them does.
+constexpr Milliseconds kTakeOverStep{100};
+/// A peer that heard the primary within this time in ms speaks for it.
+constexpr Milliseconds kPrimaryHeard{300};
+
+}  // namespace
+
+auto Gateway::OnDutyAcquired(const std::string& group,
+                             const OwnerRecord& record) -> void {
+  auto* it = FindGroup(group);
+  if (it == nullptr) {
+    return;
+  }
+  PromotionPorts ports;
+  ports.peers_heard = [this](const std::string& name) {
+    return PeersHeard(name);
+  };
+  ports.ask_peers = [this](const std::string& name) { SpreadGroup(name); };
+  ports.isolated = [this] { return IsIsolated(); };
+  ports.renew_epoch = [this](const std::string& name) {
+    duties_kept_.RaiseEpoch(name, [this, name](bool written) {
+      const auto duty = duties_.find(name);
+      const auto* newest = duties_kept_.RecordOf(name);
+      if (written && duty != duties_.end() && newest != nullptr) {
+        duty->second->SetEpoch(newest->epoch);
+      }
+    });
+  };
+  ports.next_id = [this] { return ++last_order_; };
+  ports.holder = settings_.instance;
+  duties_[group] = std::make_unique<PromotionDuty>(
+      record.epoch, *it, std::move(ports), timers_, out_, shell_);
+  it->SetWatching(true);
+  duties_[group]->Start();
+}
+
+auto Gateway::OnDutyLost(const std::string& group) -> void {
+  duties_.erase(group);
+  if (auto* it = FindGroup(group)) {
+    it->SetWatching(false);
+  }
+}
+
+auto Gateway::OnPromotionAnswered(std::int64_t id, PromotionOutcome outcome)
+    -> void {
+  for (auto& [group, duty] : duties_) {
+    if (duty->OnAnswered(id, outcome)) {
+      return;
+    }
+  }
+}
+
+auto Gateway::PeersHeard(const std::string& group) const
+    -> std::optional<Duration> {
+  std::optional<Duration> least;
+  const auto it = groups_.find(group);
+  if (it == groups_.end()) {
+    return std::nullopt;
+  }
+  // Where no primary is known here, one that a peer reaches counts.
+  const auto& primary = it->second->primary();
+  for (const auto& [peer, by_group] : reports_) {
+    const auto heard = by_group.find(group);
+    if (heard == by_group.end()) {
+      continue;
+    }
+    const auto& report = heard->second.report;
+    const auto other = primary.IsUsable() && report.primary != primary.member();
+    if (other || report.heard_ms < 0 || report.primary.empty()) {
+      continue;
+    }
+    const auto age =
+        timers_.Now() - heard->second.arrived + Milliseconds(report.heard_ms);
+    least = std::min(least.value_or(age), age);
+  }
+  return least;
+}
+
+auto Gateway::IsIsolated() const -> bool {
+  const auto others = instances_.size() > 1;
+  return others && peers_.Live().size() <= 1 && !store_.IsReachable();
+}
+
+auto Gateway::OnGroupChanged(const std::string& group) -> void {
+  SpreadGroup(group);
+  WatchHolder(group);
+}
+
+// Without news of a successor, the holder may be lost as well.
+auto Gateway::WatchHolder(const std::string& group) -> void {
+  const auto* it = FindGroup(group);
+  const auto lost = it != nullptr && !duties_.contains(group) &&
+                    it->primary().successor().empty() && it->IsPrimaryLost();
+  if (!lost) {
+    holders_.NoteFound(group);
+    return;
+  }
+  if (holders_.IsLost(group)) {
+    return;
+  }
+  holders_.NoteLost(group, timers_.Now());
+  const auto rank =
+      RendezvousRank(group, settings_.instance, InstanceNamesKnown());
+  const auto wait = HolderWatch::kPatience + kTakeOverStep * rank;
+  timers_.After(wait, [this, group] { CheckHolder(group); });
+}
+
+auto Gateway::CheckHolder(const std::string& group) -> void {
+  // Without a change the state of the group still has to be looked at.
+  WatchHolder(group);
+  if (!holders_.IsLost(group)) {
+    return;
+  }
+  if (const auto stall = timers_.LastStall()) {
+    holders_.NoteStall(*stall);
+  }
+  const auto* record = duties_kept_.RecordOf(group);
+  const auto heard = PeersHeard(group);
+  const auto vouched = heard && *heard <= kPrimaryHeard;
+  if (record != nullptr && !vouched && !stopping_since_ &&
+      holders_.IsHolderLost(group, record->owner, timers_.Now())) {
+    shell_.Log(
+        Event::kDutyTakenOver,
+        {{"group", group},
+         {"holder", record->owner},
+         {"epoch", std::to_string(record->epoch)},
+         {"heard_ms", heard ? std::to_string(heard->count() / 1000) : "-1"},
+         {"outcome", "holder is silent"}});
+    duties_kept_.Preempt(group);
+  }
+  // Peers that live answer.
+  SpreadGroup(group);
+  timers_.After(HolderWatch::kPatience, [this, group] { CheckHolder(group); });
+}
+
+}  // namespace kingcuplock
--- a/kingcuplock/gateway/gateway_failover_test.cc
+++ b/kingcuplock/gateway/gateway_failover_test.cc
@@ -13,15 +13,16 @@
 constexpr Milliseconds kGapTarget{800};
 constexpr Milliseconds kPromotion{1000};
 
-/// Writes through every gateway until `until`, and returns the longest time
-/// between two writes that had success.
+/// Writes through every gateway for `length`, and returns the longest time
+/// without a write that had success, from the call on.
 auto LongestGap(GatewayFixture& world, std::size_t gateways, Duration length)
     -> Duration {
   std::vector<std::size_t> clients;
   for (std::size_t n = 0; n < gateways; ++n) {
     clients.push_back(world.OpenClient(n, "db-primary"));
   }
-  const auto until = world.Now() + length;
+  const auto start = world.Now();
+  const auto until = start + length;
   auto n = 0;
   while (world.Now() < until) {
     for (const auto client : clients) {
@@ -31,7 +32,7 @@
     world.RunFor(Milliseconds(20));
   }
   world.RunFor(Milliseconds(1000));
-  std::vector<Time> served;
+  std::vector<Time> served = {start};
   for (const auto& it : world.said()) {
     if (it.answer && it.answer->IsOk() &&
         it.statement.kind == StatementKind::kWrite) {
@@ -183,5 +184,40 @@
   CHECK(world.AnswerTo(write)->IsOk());
 }
 
+/// Time in ms that the loss of the duty's holder may add to the loss of the
+/// primary: the target for a failover once more.
+constexpr Milliseconds kHolderTarget{800};
+
+// One of the three holds the duty; its lease goes on for seconds.
+TEST_CASE("A holder that is lost with the primary costs one more target") {
+  for (std::size_t lost = 0; lost < 3; ++lost) {
+    CAPTURE(lost);
+    GatewayFixture world({.gateways = 3});
+    world.RunFor(kStart);
+    world.KillGateway(lost);
+    world.CrashMember("m1");
+    const auto gap = LongestGap(world, 3, Milliseconds(5000));
+    CHECK(world.group().Promotions() == 1);
+    CHECK(gap < kPromotion + kGapTarget + kHolderTarget);
+    CHECK(world.Check().empty());
+  }
+}
+
+// The holder waits for the platform's answer; the others hear nothing new.
+TEST_CASE("A holder that lives keeps its duty through a long promotion") {
+  GatewayFixture world(
+      {.gateways = 3, .group = {.promotion_time = Milliseconds(4000)}});
+  world.RunFor(kStart);
+  world.LoseOrders(Milliseconds(2000));
+  world.CrashMember("m1");
+  world.RunFor(Milliseconds(9000));
+  auto acquired = 0;
+  for (const auto& it : world.logs()) {
+    acquired += it.event == Event::kOwnerAcquired ? 1 : 0;
+  }
+  CHECK(acquired == 1);
+  CHECK(world.Check().empty());
+}
+
 }  // namespace
 }  // namespace kingcuplock
--- a/kingcuplock/gateway/gateway_peers.cc
+++ b/kingcuplock/gateway/gateway_peers.cc
@@ -115,6 +115,7 @@
 
 // Returns whether the peer has something that this instance lacks.
 auto Gateway::NoteHeartbeat(const Heartbeat& heartbeat) -> bool {
+  holders_.NoteBeat(heartbeat.instance, timers_.Now());
   for (const auto& it : heartbeat.groups) {
     reports_[heartbeat.instance][it.group] = {it, timers_.Now()};
     if (auto* group = FindGroup(it.group)) {
--- a/kingcuplock/gateway/group.cc
+++ b/kingcuplock/gateway/group.cc
@@ -246,6 +246,12 @@
   return it == members_.end() ? Reach::kUntried : it->second.pool->reach();
 }
 
+auto Group::IsPrimaryLost() const -> bool {
+  const auto reach = ReachOf(primary_.member());
+  return !primary_.IsUsable() || reach == Reach::kRefused ||
+         reach == Reach::kSilent;
+}
+
 auto Group::Waiting() const -> std::size_t {
   return primary_queue_.Size() + pin_queue_.Size() + read_queue_.Size();
 }
--- a/kingcuplock/gateway/group.h
+++ b/kingcuplock/gateway/group.h
@@ -114,6 +114,8 @@
   /// Returns the names of registered members.
   auto MemberNames() const -> std::vector<std::string>;
   auto ReachOf(std::string_view member) const -> Reach;
+  /// Returns whether this instance knows of no primary that it reaches.
+  auto IsPrimaryLost() const -> bool;
   /// Returns how many tasks wait for a connection or a primary.
   auto Waiting() const -> std::size_t;
   /// Returns the connections held to all members.
--- /dev/null
+++ b/kingcuplock/gateway/holder_watch.h
@@ -0,0 +1,77 @@
+#pragma once
+
+/// Decides when the holder of a group's promotion duty is taken for lost though
+/// its lease goes on: the primary is lost, the holder says nothing, and others
+/// do. Each order to promote carries a higher fencing token, so that a holder
+/// that wakes can do no harm.
+///
+/// Example:
+///   HolderWatch watch;
+///   watch.NoteBeat("gw-2", now);
+///   watch.NoteLost("bookings", now);
+///   if (watch.IsHolderLost("bookings", "gw-1", now)) { TakeDuty("bookings"); }
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "kingcuplock/base/timer_service.h"
+
+namespace kingcuplock {
+
+/// Not thread safe. O(log n) in groups and O(n) in peers.
+class HolderWatch {
+ public:
+  /// Time in ms from the loss of a primary until its holder counts as lost: a
+  /// holder that lives has ordered a promotion and told of it in half of it.
+  static constexpr Milliseconds kPatience{500};
+
+  /// Notes that a peer answered.
+  auto NoteBeat(const std::string& peer, Time now) -> void {
+    beats_[peer] = now;
+  }
+
+  /// Notes that a group's primary is lost, and nobody is known to replace it.
+  auto NoteLost(const std::string& group, Time now) -> void {
+    lost_since_.try_emplace(group, now);
+  }
+
+  /// Notes that it is back, or being replaced.
+  auto NoteFound(const std::string& group) -> void { lost_since_.erase(group); }
+
+  /// Returns whether the group's primary is lost.
+  auto IsLost(const std::string& group) const -> bool {
+    return lost_since_.contains(group);
+  }
+
+  /// Begins to wait anew: this instance stood still and heard nobody.
+  auto NoteStall(Time now) -> void {
+    for (auto& [group, since] : lost_since_) {
+      since = std::max(since, now);
+    }
+  }
+
+  /// Returns whether `holder`, once heard here, has been silent since the loss
+  /// while another peer was not.
+  auto IsHolderLost(const std::string& group,
+                    const std::string& holder,
+                    Time now) const -> bool {
+    const auto lost = lost_since_.find(group);
+    const auto beat = beats_.find(holder);
+    if (lost == lost_since_.end() || beat == beats_.end() ||
+        now - lost->second < kPatience || beat->second > lost->second) {
+      return false;
+    }
+    return std::any_of(beats_.begin(), beats_.end(), [&](const auto& it) {
+      return it.second > lost->second;
+    });
+  }
+
+ private:
+  /// When each peer was last heard.
+  std::map<std::string, Time> beats_;
+  std::map<std::string, Time> lost_since_;
+};
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/gateway/holder_watch_test.cc
@@ -0,0 +1,54 @@
+#include "kingcuplock/gateway/holder_watch.h"
+
+#include <doctest/doctest.h>
+
+namespace kingcuplock {
+namespace {
+
+constexpr Time kLost{Milliseconds(10'000)};
+constexpr Time kLater = kLost + HolderWatch::kPatience;
+
+auto WatchWithPeers() -> HolderWatch {
+  HolderWatch watch;
+  watch.NoteBeat("holder", kLost - Milliseconds(100));
+  watch.NoteBeat("other", kLost - Milliseconds(100));
+  watch.NoteLost("g", kLost);
+  return watch;
+}
+
+TEST_CASE("A holder is lost when it is silent and another peer is not") {
+  auto watch = WatchWithPeers();
+  watch.NoteBeat("other", kLost + Milliseconds(10));
+  CHECK_FALSE(watch.IsHolderLost("g", "holder", kLater - Milliseconds(1)));
+  CHECK(watch.IsHolderLost("g", "holder", kLater));
+  watch.NoteBeat("holder", kLater);
+  CHECK_FALSE(watch.IsHolderLost("g", "holder", kLater));
+}
+
+TEST_CASE("An instance that hears nobody takes no holder for lost") {
+  const auto watch = WatchWithPeers();
+  CHECK_FALSE(watch.IsHolderLost("g", "holder", kLater));
+}
+
+TEST_CASE("A holder that was never heard here is not judged here") {
+  auto watch = WatchWithPeers();
+  watch.NoteBeat("other", kLater);
+  CHECK_FALSE(watch.IsHolderLost("g", "stranger", kLater));
+}
+
+TEST_CASE("An instance that stood still waits anew") {
+  auto watch = WatchWithPeers();
+  watch.NoteBeat("other", kLost + Milliseconds(10));
+  watch.NoteStall(kLater);
+  CHECK_FALSE(watch.IsHolderLost("g", "holder", kLater));
+}
+
+TEST_CASE("A primary that is found again ends the wait") {
+  auto watch = WatchWithPeers();
+  watch.NoteBeat("other", kLost + Milliseconds(10));
+  watch.NoteFound("g");
+  CHECK_FALSE(watch.IsHolderLost("g", "holder", kLater));
+}
+
+}  // namespace
+}  // namespace kingcuplock
--- a/kingcuplock/ownership/ownership_keeper.cc
+++ b/kingcuplock/ownership/ownership_keeper.cc
@@ -200,6 +200,14 @@
   Swap(database, std::move(next), [](bool) {});
 }
 
+void OwnershipKeeper::Preempt(const std::string& database) {
+  const auto it = entries_.find(database);
+  if (it != entries_.end() && MayTake(it->second) && !it->second.writing &&
+      !it->second.verifying) {
+    TakeOver(database);
+  }
+}
+
 void OwnershipKeeper::Write(const std::string& database,
                             std::int64_t term,
                             const std::string& primary,
--- a/kingcuplock/ownership/ownership_keeper.h
+++ b/kingcuplock/ownership/ownership_keeper.h
@@ -92,6 +92,10 @@
   /// unless the record belongs to another instance by then.
   void Reacquire(const std::string& database, std::int64_t seen_epoch);
 
+  /// Takes a database from an owner that is taken for lost though its lease
+  /// goes on. Only for owners whose acts are all fenced by the epoch.
+  void Preempt(const std::string& database);
+
   /// Takes no more databases, as before a planned stop.
   void StopAcquiring() { acquiring_ = false; }
 
--- a/testing/gateway_fixture.cc
+++ b/testing/gateway_fixture.cc
@@ -22,6 +22,9 @@
   out.promotion = {"10.0.0.9", 6};
   out.timing.heartbeat_ms = 1000;
   out.timing.peer_timeout_ms = 2500;
+  // As on the platform.
+  out.timing.lease_ttl_ms = 3000;
+  out.timing.lease_renew_ms = 900;
   return out;
 }
 
