Who is refused does not speak for the primary; another process at its address is not heard

Now a report of an unreached primary does not count, and a greeting by another member is not a sign of life. Both tests failed first.

--- a/kingcuplock/gateway/gateway_duty.cc
+++ b/kingcuplock/gateway/gateway_duty.cc
@@ -79,7 +79,10 @@
     }
     const auto& report = heard->second.report;
     const auto other = primary.IsUsable() && report.primary != primary.member();
-    if (other || report.heard_ms < 0 || report.primary.empty()) {
+    // Who heard it before it was refused itself says nothing of it now.
+    const auto unreached =
+        report.reach == Reach::kRefused || report.reach == Reach::kSilent;
+    if (other || unreached || report.heard_ms < 0 || report.primary.empty()) {
       continue;
     }
     const auto age =
--- a/kingcuplock/gateway/gateway_failover_test.cc
+++ b/kingcuplock/gateway/gateway_failover_test.cc
@@ -219,5 +219,21 @@
   CHECK(world.Check().empty());
 }
 
+// Each instance heard the primary a moment before it crashed.
+TEST_CASE("A peer that is refused does not speak for the primary") {
+  GatewayFixture world({.gateways = 3});
+  world.RunFor(kStart);
+  LongestGap(world, 3, Milliseconds(100));
+  for (std::size_t n = 0; n < 3; ++n) {
+    world.Say(world.OpenClient(n, "db-primary"), "last" + std::to_string(n),
+              StatementKind::kWrite, "a");
+  }
+  world.RunFor(Milliseconds(20));
+  world.CrashMember("m1");
+  // Well before what the peers heard is too old to speak for it.
+  world.RunFor(Milliseconds(250));
+  CHECK(world.Fences().size() == 1);
+}
+
 }  // namespace
 }  // namespace kingcuplock
--- a/kingcuplock/gateway/link_pool.cc
+++ b/kingcuplock/gateway/link_pool.cc
@@ -252,7 +252,9 @@
     return false;
   }
   auto& link = it->second;
-  last_heard_ = timers_.Now();
+  if (answer.error != StatementError::kWrongMember) {
+    last_heard_ = timers_.Now();
+  }
   if (link.pending.empty()) {
     // An answer that nobody asked for: whose it is can't be known.
     Discard(id);
--- a/kingcuplock/gateway/link_pool_test.cc
+++ b/kingcuplock/gateway/link_pool_test.cc
@@ -169,5 +169,13 @@
   CHECK(world.Opened().size() == 1);
 }
 
+TEST_CASE("Another process at the address is not the member heard") {
+  PoolWorld world;
+  world.pool.Start();
+  world.Greet(world.Opened().at(0), StatementError::kWrongMember);
+  CHECK_FALSE(world.pool.LastHeard());
+  CHECK(world.reaches == std::vector{Reach::kRefused});
+}
+
 }  // namespace
 }  // namespace kingcuplock
