--- a/kingcuplock/gateway/gateway.cc
+++ b/kingcuplock/gateway/gateway.cc
@@ -67,6 +67,8 @@
                 OnPeerMessage(peer, message);
               },
               [this](const Heartbeat& it) {
+                holders_.NoteBeat(it.instance, PeerSide::kAnswers,
+                                  timers_.Now());
                 if (NoteHeartbeat(it)) {
                   peers_.Send(it.instance, RoutesWanted{settings_.instance});
                 }
--- a/kingcuplock/gateway/gateway.h
+++ b/kingcuplock/gateway/gateway.h
@@ -163,6 +163,8 @@
   };
   std::map<std::string, std::map<std::string, HeardReport>> reports_;
   HolderWatch holders_;
+  /// Groups whose holder is looked at regularly.
+  std::set<std::string> checking_;
   /// Groups whose state heartbeats carry, and until when.
   std::map<std::string, Time> spread_;
   bool spreading_ = false;
--- a/kingcuplock/gateway/gateway_duty.cc
+++ b/kingcuplock/gateway/gateway_duty.cc
@@ -13,8 +13,6 @@
 /// Pause in ms between instances that may take a lost holder's duty, so that
 /// one of them does.
 constexpr Milliseconds kTakeOverStep{100};
-/// A peer that heard the primary within this time in ms speaks for it.
-constexpr Milliseconds kPrimaryHeard{300};
 
 }  // namespace
 
@@ -111,10 +109,10 @@
     holders_.NoteFound(group);
     return;
   }
-  if (holders_.IsLost(group)) {
+  holders_.NoteLost(group, timers_.Now());
+  if (!checking_.insert(group).second) {
     return;
   }
-  holders_.NoteLost(group, timers_.Now());
   const auto rank =
       RendezvousRank(group, settings_.instance, InstanceNamesKnown());
   const auto wait = HolderWatch::kPatience + kTakeOverStep * rank;
@@ -125,6 +123,7 @@
   // Without a change the state of the group still has to be looked at.
   WatchHolder(group);
   if (!holders_.IsLost(group)) {
+    checking_.erase(group);
     return;
   }
   if (const auto stall = timers_.LastStall()) {
@@ -132,16 +131,15 @@
   }
   const auto* record = duties_kept_.RecordOf(group);
   const auto heard = PeersHeard(group);
-  const auto vouched = heard && *heard <= kPrimaryHeard;
+  const auto vouched = heard && *heard <= PromotionDuty::kPeerVouches;
   if (record != nullptr && !vouched && !stopping_since_ &&
       holders_.IsHolderLost(group, record->owner, timers_.Now())) {
-    shell_.Log(
-        Event::kDutyTakenOver,
-        {{"group", group},
-         {"holder", record->owner},
-         {"epoch", std::to_string(record->epoch)},
-         {"heard_ms", heard ? std::to_string(heard->count() / 1000) : "-1"},
-         {"outcome", "holder is silent"}});
+    shell_.Log(Event::kDutyTakenOver,
+               {{"group", group},
+                {"holder", record->owner},
+                {"epoch", std::to_string(record->epoch)},
+                {"primary", FindGroup(group)->primary().member()},
+                {"outcome", "holder is silent"}});
     duties_kept_.Preempt(group);
   }
   // Peers that live answer.
--- a/kingcuplock/gateway/gateway_peers.cc
+++ b/kingcuplock/gateway/gateway_peers.cc
@@ -41,6 +41,7 @@
 auto Gateway::OnInboundPeer(ConnectionId source, const InboundMessage& message)
     -> void {
   if (const auto* heartbeat = std::get_if<Heartbeat>(&message)) {
+    holders_.NoteBeat(heartbeat->instance, PeerSide::kTells, timers_.Now());
     const auto wants = NoteHeartbeat(*heartbeat);
     inbound_peers_.insert(source);
     shell_.Send(source, BuildHeartbeat(heartbeat->groups));
@@ -115,7 +116,6 @@
 
 // Returns whether the peer has something that this instance lacks.
 auto Gateway::NoteHeartbeat(const Heartbeat& heartbeat) -> bool {
-  holders_.NoteBeat(heartbeat.instance, timers_.Now());
   for (const auto& it : heartbeat.groups) {
     reports_[heartbeat.instance][it.group] = {it, timers_.Now()};
     if (auto* group = FindGroup(it.group)) {
--- a/kingcuplock/gateway/holder_watch.h
+++ b/kingcuplock/gateway/holder_watch.h
@@ -7,7 +7,7 @@
 ///
 /// Example:
 ///   HolderWatch watch;
-///   watch.NoteBeat("gw-2", now);
+///   watch.NoteBeat("gw-2", PeerSide::kAnswers, now);
 ///   watch.NoteLost("bookings", now);
 ///   if (watch.IsHolderLost("bookings", "gw-1", now)) { TakeDuty("bookings"); }
 
@@ -20,6 +20,14 @@
 
 namespace kingcuplock {
 
+/// On which side of a link a peer spoke.
+enum class PeerSide {
+  /// It answers this instance's heartbeats at once.
+  kAnswers,
+  /// It sends its own when it has something to tell.
+  kTells
+};
+
 /// Not thread safe. O(log n) in groups and O(n) in peers.
 class HolderWatch {
  public:
@@ -27,9 +35,11 @@
   /// holder that lives has ordered a promotion and told of it in half of it.
   static constexpr Milliseconds kPatience{500};
 
-  /// Notes that a peer answered.
-  auto NoteBeat(const std::string& peer, Time now) -> void {
-    beats_[peer] = now;
+  /// Notes that a peer spoke.
+  auto NoteBeat(const std::string& peer, PeerSide side, Time now) -> void {
+    auto& it = peers_[peer];
+    it.last = now;
+    it.answers = it.answers || side == PeerSide::kAnswers;
   }
 
   /// Notes that a group's primary is lost, and nobody is known to replace it.
@@ -52,25 +62,30 @@
     }
   }
 
-  /// Returns whether `holder`, once heard here, has been silent since the loss
-  /// while another peer was not.
+  /// Returns whether `holder`, which used to answer, has been silent since the
+  /// loss while another peer was not.
   auto IsHolderLost(const std::string& group,
                     const std::string& holder,
                     Time now) const -> bool {
     const auto lost = lost_since_.find(group);
-    const auto beat = beats_.find(holder);
-    if (lost == lost_since_.end() || beat == beats_.end() ||
-        now - lost->second < kPatience || beat->second > lost->second) {
+    const auto peer = peers_.find(holder);
+    if (lost == lost_since_.end() || peer == peers_.end() ||
+        !peer->second.answers || now - lost->second < kPatience ||
+        peer->second.last > lost->second) {
       return false;
     }
-    return std::any_of(beats_.begin(), beats_.end(), [&](const auto& it) {
-      return it.second > lost->second;
+    return std::any_of(peers_.begin(), peers_.end(), [&](const auto& it) {
+      return it.second.last > lost->second;
     });
   }
 
  private:
-  /// When each peer was last heard.
-  std::map<std::string, Time> beats_;
+  struct Peer {
+    Time last{};
+    bool answers = false;
+  };
+
+  std::map<std::string, Peer> peers_;
   std::map<std::string, Time> lost_since_;
 };
 
--- a/kingcuplock/gateway/promotion_duty.cc
+++ b/kingcuplock/gateway/promotion_duty.cc
@@ -10,9 +10,6 @@
 constexpr Milliseconds kTick{50};
 /// Time in ms for peers to report after they were asked: a few round trips.
 constexpr Milliseconds kPeerReports{40};
-/// A peer that heard the primary within this time in ms vouches for it; above
-/// the time after which a member counts as silent.
-constexpr Milliseconds kPeerVouches{300};
 /// Time in ms without a known primary, all members being reached, after which
 /// one is chosen.
 constexpr Milliseconds kLostLimit{700};
--- a/kingcuplock/gateway/promotion_duty.h
+++ b/kingcuplock/gateway/promotion_duty.h
@@ -46,6 +46,10 @@
 /// Not thread safe.
 class PromotionDuty {
  public:
+  /// A peer that heard the primary within this time in ms vouches for it; above
+  /// the time after which a member counts as silent.
+  static constexpr Milliseconds kPeerVouches{300};
+
   PromotionDuty(std::int64_t epoch,
                 Group& group,
                 PromotionPorts ports,
