--- a/kingcuplock/actions/outbox.h
+++ b/kingcuplock/actions/outbox.h
@@ -50,6 +50,10 @@
                                      HandOver,
                                      RoutesWanted,
                                      RoutesOffer,
+                                     GrantWanted,
+                                     GrantGiven,
+                                     StepDown,
+                                     SteppedDown,
                                      MemberRequest,
                                      StoreCall>;
 
--- a/kingcuplock/gateway/gateway.cc
+++ b/kingcuplock/gateway/gateway.cc
@@ -1,6 +1,7 @@
 #include "kingcuplock/gateway/gateway.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "kingcuplock/membership/peer_choice.h"
@@ -57,6 +58,9 @@
              if (it != duties_.end() && record.owner == settings_.instance) {
                it->second->SetEpoch(record.epoch);
              }
+             if (!settings_.promotions_fenced) {
+               LinkPeersSoon();
+             }
            }}),
       peers_(settings_.instance,
              settings_.timing,
@@ -224,9 +228,13 @@
     }
     group = std::make_unique<Group>(
         it,
-        GroupSite{settings_.data_centre, Milliseconds(settings_.leaving_ms)},
+        GroupSite{settings_.data_centre, Milliseconds(settings_.leaving_ms),
+                  settings_.promotions_fenced},
         timers_, out_, shell_,
-        GroupPorts{[this, name = it.name] { OnGroupChanged(name); }});
+        GroupPorts{[this, name = it.name] { OnGroupChanged(name); },
+                   [this, name = it.name](std::int64_t ask) {
+                     return AskGrant(name, ask);
+                   }});
   }
   duties_kept_.SetDatabases(names);
   // The news go on from peer to peer.
@@ -271,19 +279,45 @@
       return;
     }
   }
+  LinkPeersSoon();
+}
+
+auto Gateway::LinkPeersSoon() -> void {
   if (std::exchange(choosing_peers_, true)) {
     return;
   }
   timers_.After(kChoosePause, [this] {
     choosing_peers_ = false;
-    std::vector<InstanceEntry> listed;
-    for (const auto& [key, entry] : instances_) {
-      listed.push_back(entry);
-    }
-    peers_.SetPeers(ChoosePeers(listed, settings_.instance));
+    LinkPeers();
   });
 }
 
+// Without fencing tokens, the holders of duties are asked for grants, and a
+// former holder to step down.
+auto Gateway::LinkPeers() -> void {
+  std::vector<InstanceEntry> listed;
+  for (const auto& [key, entry] : instances_) {
+    listed.push_back(entry);
+  }
+  auto chosen = ChoosePeers(listed, settings_.instance);
+  std::set<std::string> wanted;
+  for (const auto& it : routes_.table().groups) {
+    const auto* record = duties_kept_.RecordOf(it.name);
+    if (!settings_.promotions_fenced && record != nullptr) {
+      wanted.insert(record->owner);
+      if (duties_.contains(it.name)) {
+        wanted.insert(record->previous);
+      }
+    }
+  }
+  for (const auto& it : chosen) {
+    wanted.erase(it.name);
+  }
+  std::copy_if(listed.begin(), listed.end(), std::back_inserter(chosen),
+               [&](const auto& it) { return wanted.erase(it.name) > 0; });
+  peers_.SetPeers(chosen);
+}
+
 // Links lead to some instances only; the others are known by registration.
 auto Gateway::InstanceNamesKnown() const -> std::vector<std::string> {
   auto names = peers_.Live();
--- a/kingcuplock/gateway/gateway.h
+++ b/kingcuplock/gateway/gateway.h
@@ -129,6 +129,12 @@
   auto OnDutyAcquired(const std::string& group, const OwnerRecord& record)
       -> void;
   auto OnDutyLost(const std::string& group) -> void;
+  auto AskGrant(const std::string& group, std::int64_t ask) -> bool;
+  auto OnGrantWanted(ConnectionId source, const GrantWanted& wanted) -> void;
+  auto OnStepDown(ConnectionId source, const StepDown& told) -> void;
+  auto OnSteppedDown(const SteppedDown& told) -> void;
+  auto LinkPeers() -> void;
+  auto LinkPeersSoon() -> void;
   auto OnGroupChanged(const std::string& group) -> void;
   auto WatchHolder(const std::string& group) -> void;
   auto CheckHolder(const std::string& group) -> void;
--- a/kingcuplock/gateway/gateway_duty.cc
+++ b/kingcuplock/gateway/gateway_duty.cc
@@ -39,8 +39,20 @@
   };
   ports.next_id = [this] { return ++last_order_; };
   ports.holder = settings_.instance;
+  ports.lease_until = [this] { return duties_kept_.LeaseValidUntil(); };
+  ports.step_down = [this, group](const std::string& holder,
+                                  std::int64_t epoch) {
+    peers_.Send(holder, StepDown{settings_.instance, group, epoch});
+  };
+  DutyOrigin origin;
+  origin.epoch = record.epoch;
+  // An earlier run of this instance is over.
+  origin.predecessor =
+      record.previous == settings_.instance ? "" : record.previous;
+  origin.lease = Milliseconds(settings_.timing.lease_ttl_ms);
+  origin.fenced = settings_.promotions_fenced;
   duties_[group] = std::make_unique<PromotionDuty>(
-      record.epoch, *it, std::move(ports), timers_, out_, shell_);
+      std::move(origin), *it, std::move(ports), timers_, out_, shell_);
   it->SetWatching(true);
   duties_[group]->Start();
 }
@@ -52,6 +64,60 @@
   }
 }
 
+// Asks the holder of the group's duty, which may be this instance.
+auto Gateway::AskGrant(const std::string& group, std::int64_t ask) -> bool {
+  const auto duty = duties_.find(group);
+  if (duty != duties_.end()) {
+    timers_.After(Duration::zero(), [this, group, ask] {
+      const auto own = duties_.find(group);
+      auto* it = FindGroup(group);
+      if (own != duties_.end() && it != nullptr) {
+        it->OnGrantGiven(own->second->Grant(ask));
+      }
+    });
+    return true;
+  }
+  const auto* record = duties_kept_.RecordOf(group);
+  return record != nullptr &&
+         peers_.Send(record->owner,
+                     GrantWanted{settings_.instance, group, ask});
+}
+
+auto Gateway::OnGrantWanted(ConnectionId source, const GrantWanted& wanted)
+    -> void {
+  const auto duty = duties_.find(wanted.group);
+  GrantGiven given;
+  given.group = wanted.group;
+  given.ask = wanted.ask;
+  if (duty != duties_.end()) {
+    given = duty->second->Grant(wanted.ask);
+  }
+  shell_.Send(source, given);
+}
+
+// A new holder waits for this answer, so it is given only once nothing that
+// this instance ordered can be carried out any more.
+auto Gateway::OnStepDown(ConnectionId source, const StepDown& told) -> void {
+  const auto duty = duties_.find(told.group);
+  if (duty != duties_.end() && duty->second->IsOrdering()) {
+    return;
+  }
+  duties_kept_.StepDown(told.group, told.epoch);
+  if (!duties_.contains(told.group)) {
+    shell_.Send(source,
+                SteppedDown{settings_.instance, told.group, told.epoch});
+  }
+}
+
+auto Gateway::OnSteppedDown(const SteppedDown& told) -> void {
+  const auto duty = duties_.find(told.group);
+  const auto* record = duties_kept_.RecordOf(told.group);
+  if (duty != duties_.end() && record != nullptr &&
+      record->previous == told.instance && record->epoch == told.epoch) {
+    duty->second->NoteSteppedDown();
+  }
+}
+
 auto Gateway::OnPromotionAnswered(std::int64_t id, PromotionOutcome outcome)
     -> void {
   for (auto& [group, duty] : duties_) {
@@ -132,7 +198,8 @@
   const auto* record = duties_kept_.RecordOf(group);
   const auto heard = PeersHeard(group);
   const auto vouched = heard && *heard <= PromotionDuty::kPeerVouches;
-  if (record != nullptr && !vouched && !stopping_since_ &&
+  if (settings_.promotions_fenced && record != nullptr && !vouched &&
+      !stopping_since_ &&
       holders_.IsHolderLost(group, record->owner, timers_.Now())) {
     shell_.Log(Event::kDutyTakenOver,
                {{"group", group},
--- a/kingcuplock/gateway/gateway_outbox.h
+++ b/kingcuplock/gateway/gateway_outbox.h
@@ -10,6 +10,7 @@
 ///   for (auto& it : out.Take()) { Perform(it); }
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -41,6 +42,9 @@
 struct SendStatement {
   ConnectionId link = 0;
   SessionStatement statement;
+  /// Time from which it must not be sent any more; the connection then ends
+  /// instead.
+  std::optional<Time> not_after = std::nullopt;
 };
 
 /// Close a member's or client's connection; nothing is reported of it later.
@@ -66,6 +70,8 @@
   std::string holder;
   /// Fencing token; unique to this attempt.
   std::int64_t fence = 0;
+  /// Time from which it must not be sent any more; it then counts as not done.
+  std::optional<Time> not_after = std::nullopt;
 };
 
 /// Anything that the gateway asks of the sockets.
--- a/kingcuplock/gateway/gateway_peers.cc
+++ b/kingcuplock/gateway/gateway_peers.cc
@@ -55,6 +55,10 @@
     TakeOffer(*offer, "peer");
   } else if (const auto* hand_over = std::get_if<HandOver>(&message)) {
     duties_kept_.AcceptHandOver(hand_over->database);
+  } else if (const auto* grant = std::get_if<GrantWanted>(&message)) {
+    OnGrantWanted(source, *grant);
+  } else if (const auto* told = std::get_if<StepDown>(&message)) {
+    OnStepDown(source, *told);
   } else {
     shell_.Log(Event::kFrameRejected,
                {{"connection", std::to_string(source)},
@@ -68,6 +72,12 @@
     TakeOffer(*offer, peer);
   } else if (std::holds_alternative<RoutesWanted>(message)) {
     peers_.Send(peer, BuildOffer());
+  } else if (const auto* given = std::get_if<GrantGiven>(&message)) {
+    if (auto* group = FindGroup(given->group)) {
+      group->OnGrantGiven(*given);
+    }
+  } else if (const auto* told = std::get_if<SteppedDown>(&message)) {
+    OnSteppedDown(*told);
   }
 }
 
--- a/kingcuplock/gateway/group.cc
+++ b/kingcuplock/gateway/group.cc
@@ -417,6 +417,12 @@
 }
 
 auto Group::TryStart(const TaskPtr& task, Member& member) -> bool {
+  if (task->access != Access::kReplicaRead && !site_.promotions_fenced) {
+    task->granted_until = LeadsUntil(member.entry.member);
+    if (!task->granted_until) {
+      return false;
+    }
+  }
   const auto link = member.pool->Acquire(*task->session, task->prepared_ptr(),
                                          task->lending());
   if (link == 0) {
--- a/kingcuplock/gateway/group.h
+++ b/kingcuplock/gateway/group.h
@@ -30,6 +30,8 @@
 #include "kingcuplock/gateway/read_choice.h"
 #include "kingcuplock/gateway/task.h"
 #include "kingcuplock/gateway/task_runner.h"
+#include "kingcuplock/grants/grant_user.h"
+#include "kingcuplock/grants/lead_evidence.h"
 #include "kingcuplock/routing/age_tracker.h"
 #include "kingcuplock/schema/messages.h"
 
@@ -39,6 +41,9 @@
 struct GroupPorts {
   /// The belief about the primary, or its reach, changed: peers should know.
   std::function<void()> changed;
+  /// Asks the holder of the promotion duty for a grant; returns false if it
+  /// can't be asked. OnGrantGiven() takes the answer.
+  std::function<bool(std::int64_t ask)> ask_grant;
 };
 
 /// Where an instance stands, and how the platform treats its members.
@@ -47,6 +52,9 @@
   std::string data_centre;
   /// Time after which a leaving member gets no new work, whatever it costs.
   Duration leaving{std::chrono::seconds(7)};
+  /// Whether a promotion ends the lead of the primary before it. Where it does
+  /// not, a statement that needs the primary goes out under a grant only.
+  bool promotions_fenced = true;
 };
 
 /// Not thread safe.
@@ -101,6 +109,32 @@
                  std::int64_t pause_term,
                  std::function<void(const MemberReport*)> callback) -> void;
 
+  /// Makes a primary of a term below `term` a replica; calls back as
+  /// AskStatus() does.
+  auto Demote(const std::string& member,
+              std::int64_t term,
+              std::function<void(const MemberReport*)> callback) -> void;
+
+  /// Takes a member's report that it leads.
+  auto NoteStatus(const std::string& member, const MemberReport& report)
+      -> void {
+    OnLocated(member, report);
+  }
+
+  /// Takes the answer of the duty's holder to `ask_grant`.
+  auto OnGrantGiven(const GrantGiven& given) -> void;
+
+  /// Returns until when a statement that needs `member` to lead may be sent to
+  /// it; Time::max() where members refuse by themselves; nullopt if it may not
+  /// be sent now, and then asks for a grant.
+  auto LeadsUntil(const std::string& member) -> std::optional<Time>;
+
+  /// Calls back once LeadsUntil() has a value, with it, or with nullopt after
+  /// `patience`.
+  auto AwaitLead(const std::string& member,
+                 Duration patience,
+                 std::function<void(std::optional<Time>)> callback) -> void;
+
   /// Lets a paused member receive again.
   auto Resume(const std::string& member) -> void;
 
@@ -186,9 +220,31 @@
   auto Locate() -> void;
   auto OnLocated(const std::string& member, const MemberReport& status) -> void;
   auto PrimaryChanged(std::string_view source) -> void;
+  auto NotePromotionTime() -> void;
   // Returns the time in ms since a member last answered, -1 for never.
   auto HeardMs(const std::string& member) const -> std::int64_t;
   auto OnReachChanged(const std::string& member, Reach reach) -> void;
+  auto AskMember(const std::string& member,
+                 SessionStatement ask,
+                 std::function<void(const MemberReport*)> callback) -> void;
+
+  // Grants.
+  struct LeadWaiter {
+    std::string member;
+    std::function<void(std::optional<Time>)> callback;
+  };
+  struct EvidenceRound {
+    std::int64_t ask = 0;
+    Time asked{};
+    std::size_t missing = 0;
+    std::map<std::string, std::optional<MemberReport>> reports;
+  };
+  auto WantGrant() -> void;
+  auto GatherEvidence(std::int64_t ask) -> void;
+  auto OnEvidence(const EvidenceRound& round) -> void;
+  auto TakeGrant(const LeadGrant& grant, std::string_view source) -> void;
+  auto OnNoGrant(std::int64_t ask) -> void;
+  auto NoteSample(const std::string& member, Time sent, LogPlace place) -> void;
 
   GroupConfig config_;
   GroupSite site_;
@@ -217,6 +273,13 @@
   Time lost_at_{};
   /// Time in which an ordered member began to lead, as measured.
   Duration promotion_time_;
+  GrantUser grants_;
+  std::map<std::uint64_t, LeadWaiter> waiters_;
+  std::uint64_t last_waiter_ = 0;
+  /// Request for which members are being asked, 0 for none.
+  std::int64_t gathering_ = 0;
+  /// Whether the lack of a grant was logged.
+  bool lacks_grant_ = false;
   bool locating_ = false;
   bool sampling_ = false;
   bool pumping_ = false;
--- /dev/null
+++ b/kingcuplock/gateway/group_grants.cc
@@ -0,0 +1,223 @@
+// Grants: until when this instance may use the group's primary, on platforms
+// where a replaced primary goes on serving.
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "kingcuplock/gateway/group.h"
+
+namespace kingcuplock {
+namespace {
+
+/// Time in ms for the holder's answer before the members are asked: some round
+/// trips between data centres.
+constexpr Milliseconds kHolderPatience{30};
+/// Pause in ms before a grant is asked for again after nobody gave one.
+constexpr Milliseconds kAskPause{50};
+/// Part of a grant's validity after which one in use is renewed, in percent.
+constexpr int kRenewPercent = 60;
+
+auto Ms(Duration it) -> std::string {
+  return std::to_string(std::chrono::duration_cast<Milliseconds>(it).count());
+}
+
+}  // namespace
+
+auto Group::LeadsUntil(const std::string& member) -> std::optional<Time> {
+  if (site_.promotions_fenced) {
+    return Time::max();
+  }
+  if (!grants_.Covers(member, timers_.Now())) {
+    WantGrant();
+    return std::nullopt;
+  }
+  grants_.NoteUse();
+  return grants_.grant().until - kWayToMember;
+}
+
+auto Group::AwaitLead(const std::string& member,
+                      Duration patience,
+                      std::function<void(std::optional<Time>)> callback)
+    -> void {
+  if (const auto until = LeadsUntil(member)) {
+    callback(until);
+    return;
+  }
+  const auto id = ++last_waiter_;
+  waiters_[id] = {member, std::move(callback)};
+  timers_.After(patience, guard_.Bind([this, id] {
+    if (auto node = waiters_.extract(id)) {
+      node.mapped().callback(std::nullopt);
+    }
+  }));
+}
+
+auto Group::WantGrant() -> void {
+  const auto ask = grants_.BeginAsk(timers_.Now());
+  if (!ask) {
+    return;
+  }
+  if (!ports_.ask_grant(*ask)) {
+    GatherEvidence(*ask);
+    return;
+  }
+  timers_.After(kHolderPatience, guard_.Bind([this, ask = *ask] {
+    if (grants_.AskedAt(ask)) {
+      GatherEvidence(ask);
+    }
+  }));
+}
+
+auto Group::OnGrantGiven(const GrantGiven& given) -> void {
+  const auto asked = grants_.AskedAt(given.ask);
+  if (!asked) {
+    return;
+  }
+  if (given.lasts_ms > 0) {
+    TakeGrant(GrantFromHolder(given.member, given.term, *asked, timers_.Now(),
+                              Milliseconds(given.lasts_ms)),
+              "holder");
+  } else if (primary_.IsPending()) {
+    // The holder tells when the member that it ordered leads.
+    OnNoGrant(given.ask);
+  } else {
+    GatherEvidence(given.ask);
+  }
+}
+
+// Asks all members at once, the primary as well: it tells its term.
+auto Group::GatherEvidence(std::int64_t ask) -> void {
+  if (std::exchange(gathering_, ask) == ask) {
+    return;
+  }
+  auto round = std::make_shared<EvidenceRound>();
+  round->ask = ask;
+  round->asked = timers_.Now();
+  const auto names = MemberNames();
+  round->missing = names.size();
+  for (const auto& it : names) {
+    AskStatus(it, 0, guard_.Bind([this, round, it](const MemberReport* report) {
+      round->reports[it] = report ? std::optional(*report) : std::nullopt;
+      if (--round->missing == 0) {
+        OnEvidence(*round);
+      }
+    }));
+  }
+  if (names.empty()) {
+    OnNoGrant(ask);
+  }
+}
+
+auto Group::OnEvidence(const EvidenceRound& round) -> void {
+  const auto leader = std::max_element(
+      round.reports.begin(), round.reports.end(),
+      [](const auto& left, const auto& right) {
+        const auto term = [](const auto& it) {
+          return it.second && it.second->is_primary ? it.second->term : 0;
+        };
+        return term(left) < term(right);
+      });
+  const auto found = leader != round.reports.end() && leader->second &&
+                     leader->second->is_primary;
+  if (!found) {
+    OnNoGrant(round.ask);
+    return;
+  }
+  std::vector<std::string> others;
+  for (const auto& [name, report] : round.reports) {
+    if (name != leader->first) {
+      others.push_back(name);
+    }
+  }
+  LeadEvidence<> evidence(leader->first, leader->second->term, others,
+                          round.asked);
+  for (const auto& it : others) {
+    const auto& report = round.reports.at(it);
+    evidence.Note(it, report ? &*report : nullptr);
+  }
+  OnLocated(leader->first, *leader->second);
+  if (evidence.Holds()) {
+    TakeGrant(evidence.Grant(), "members");
+  } else {
+    OnNoGrant(round.ask);
+  }
+}
+
+auto Group::TakeGrant(const LeadGrant& grant, std::string_view source) -> void {
+  const auto before = grants_.grant();
+  grants_.EndAsk();
+  grants_.Take(grant);
+  const auto now = timers_.Now();
+  if (!grants_.Covers(grant.member, now)) {
+    return;
+  }
+  const auto news = before.member != grant.member || before.term != grant.term;
+  if (std::exchange(lacks_grant_, false) || news) {
+    log_.Log(Event::kGrantTaken, {{"group", config_.name},
+                                  {"member", grant.member},
+                                  {"term", std::to_string(grant.term)},
+                                  {"source", std::string(source)},
+                                  {"lasts_ms", Ms(grant.until - now)}});
+  }
+  if (primary_.NoteLeads(grant.member, grant.term)) {
+    PrimaryChanged("grant");
+  }
+  for (const auto& it : grants_.TakeProved(now)) {
+    ages_.AddSample(it.sent, it.place);
+  }
+  const auto renew = (grant.until - now) * kRenewPercent / 100;
+  timers_.After(renew, guard_.Bind([this, until = grant.until] {
+    if (grants_.grant().until == until && grants_.WasUsed()) {
+      WantGrant();
+    }
+  }));
+  for (auto it = waiters_.begin(); it != waiters_.end();) {
+    if (it->second.member != grant.member) {
+      ++it;
+      continue;
+    }
+    const auto callback = std::move(it->second.callback);
+    it = waiters_.erase(it);
+    timers_.After(Duration::zero(), [callback, until = grant.until] {
+      callback(until - kWayToMember);
+    });
+  }
+  timers_.After(Duration::zero(), guard_.Bind([this] { Pump(); }));
+}
+
+auto Group::OnNoGrant(std::int64_t ask) -> void {
+  if (!grants_.AskedAt(ask)) {
+    return;
+  }
+  const auto lapsed = !grants_.Covers(grants_.grant().member, timers_.Now());
+  if (lapsed && !primary_.IsPending() && !std::exchange(lacks_grant_, true)) {
+    log_.Log(Event::kGrantMissing, {{"group", config_.name},
+                                    {"primary", primary_.member()},
+                                    {"term", std::to_string(primary_.term())},
+                                    {"waiting", std::to_string(Waiting())}});
+  }
+  timers_.After(kAskPause, guard_.Bind([this, ask] {
+    if (!grants_.AskedAt(ask)) {
+      return;
+    }
+    grants_.EndAsk();
+    if (Waiting() > 0 || !waiters_.empty()) {
+      WantGrant();
+    }
+  }));
+}
+
+// A position counts as a floor only if its member led when it was asked for,
+// or later.
+auto Group::NoteSample(const std::string& member, Time sent, LogPlace place)
+    -> void {
+  if (site_.promotions_fenced || grants_.Covers(member, timers_.Now())) {
+    ages_.AddSample(sent, place);
+    return;
+  }
+  grants_.KeepSample({member, sent, place});
+  WantGrant();
+}
+
+}  // namespace kingcuplock
--- a/kingcuplock/gateway/group_outcome.cc
+++ b/kingcuplock/gateway/group_outcome.cc
@@ -249,23 +249,29 @@
   if (member == primary_.member() || place.term > primary_.term()) {
     if (primary_.NoteLeads(member, term)) {
       if (was_pending && member == primary_.member()) {
-        const auto took = timers_.Now() - ordered_at_;
-        promotion_time_ += (took - promotion_time_) / kPromotionWeight;
+        NotePromotionTime();
       }
       PrimaryChanged("led");
     }
-    ages_.AddSample(sent, place);
+    NoteSample(member, sent, place);
   }
 }
 
+auto Group::NotePromotionTime() -> void {
+  const auto took = timers_.Now() - ordered_at_;
+  promotion_time_ += (took - promotion_time_) / kPromotionWeight;
+}
+
 auto Group::NoteReadOnly(const std::string& member) -> void {
+  grants_.Drop(member);
   if (primary_.NoteLost(member)) {
     PrimaryChanged("read_only");
   }
 }
 
 auto Group::NoteOrdered(const std::string& member, std::int64_t term) -> void {
-  const auto serves = ReachOf(primary_.member()) == Reach::kReached;
+  const auto serves =
+      site_.promotions_fenced && ReachOf(primary_.member()) == Reach::kReached;
   if (!primary_.NoteOrdered(member, term, serves)) {
     return;
   }
@@ -354,6 +360,24 @@
                       std::int64_t pause_term,
                       std::function<void(const MemberReport*)> callback)
     -> void {
+  SessionStatement ask;
+  ask.kind = pause_term == 0 ? StatementKind::kStatus : StatementKind::kPause;
+  ask.arguments = pause_term == 0 ? "" : std::to_string(pause_term);
+  AskMember(member, std::move(ask), std::move(callback));
+}
+
+auto Group::Demote(const std::string& member,
+                   std::int64_t term,
+                   std::function<void(const MemberReport*)> callback) -> void {
+  AskMember(member,
+            {.kind = StatementKind::kDemote, .arguments = std::to_string(term)},
+            std::move(callback));
+}
+
+auto Group::AskMember(const std::string& member,
+                      SessionStatement ask,
+                      std::function<void(const MemberReport*)> callback)
+    -> void {
   const auto it = members_.find(member);
   const auto pool = it == members_.end() ? nullptr : it->second.pool;
   const auto link =
@@ -362,9 +386,6 @@
     callback(nullptr);
     return;
   }
-  SessionStatement ask;
-  ask.kind = pause_term == 0 ? StatementKind::kStatus : StatementKind::kPause;
-  ask.arguments = pause_term == 0 ? "" : std::to_string(pause_term);
   const auto answered = std::make_shared<bool>(false);
   const auto timer = timers_.After(kStatusTimeout, [=] {
     if (!std::exchange(*answered, true)) {
@@ -439,9 +460,13 @@
 
 auto Group::OnLocated(const std::string& member, const MemberReport& status)
     -> void {
+  const auto was_pending = primary_.IsPending() && member == primary_.member();
   if (!status.is_primary || !primary_.NoteLeads(member, status.term)) {
     return;
   }
+  if (was_pending) {
+    NotePromotionTime();
+  }
   PrimaryChanged("status");
 }
 
--- a/kingcuplock/gateway/link_pool.cc
+++ b/kingcuplock/gateway/link_pool.cc
@@ -154,7 +154,8 @@
 auto LinkPool::Run(ConnectionId id,
                    SessionStatement statement,
                    LinkCallback callback,
-                   Duration patience) -> void {
+                   Duration patience,
+                   std::optional<Time> not_after) -> void {
   const auto it = links_.find(id);
   if (it == links_.end()) {
     callback(nullptr);
@@ -162,7 +163,7 @@
   }
   const auto now = timers_.Now();
   it->second.pending.push_back({std::move(callback), now, now + patience});
-  out_.Add(SendStatement{id, std::move(statement)});
+  out_.Add(SendStatement{id, std::move(statement), not_after});
   WatchSilence();
 }
 
--- a/kingcuplock/gateway/link_pool.h
+++ b/kingcuplock/gateway/link_pool.h
@@ -97,11 +97,13 @@
   static constexpr Milliseconds kOwnPatience{1000};
 
   /// Sends a statement on a lent connection. Answers come in order. One that
-  /// has not come after `patience` is lost, and the connection is closed.
+  /// has not come after `patience` is lost, and the connection is closed. It is
+  /// not sent later than `not_after`.
   auto Run(ConnectionId link,
            SessionStatement statement,
            LinkCallback callback,
-           Duration patience = kOwnPatience) -> void;
+           Duration patience = kOwnPatience,
+           std::optional<Time> not_after = std::nullopt) -> void;
 
   /// Takes a connection back once its answers are in.
   auto Release(ConnectionId link) -> void;
--- a/kingcuplock/gateway/promotion_duty.cc
+++ b/kingcuplock/gateway/promotion_duty.cc
@@ -31,13 +31,17 @@
 
 }  // namespace
 
-PromotionDuty::PromotionDuty(std::int64_t epoch,
+PromotionDuty::PromotionDuty(DutyOrigin origin,
                              Group& group,
                              PromotionPorts ports,
                              TimerService& timers,
                              GatewayOutbox& out,
                              Outbox& log)
-    : epoch_(epoch),
+    : epoch_(origin.epoch),
+      origin_(std::move(origin)),
+      permit_(origin_.predecessor.empty()
+                  ? timers.Now()
+                  : timers.Now() + origin_.lease + kGrantLife),
       group_(group),
       ports_(std::move(ports)),
       timers_(timers),
@@ -62,6 +66,16 @@
 auto PromotionDuty::Tick() -> void {
   tick_timer_ = timers_.After(kTick, guard_.Bind([this] { Tick(); }));
   most_members_ = std::max(most_members_, group_.MemberNames().size());
+  if (!origin_.fenced) {
+    AskForTenure();
+    if (!tenured_) {
+      return;
+    }
+    LookAround();
+    WatchSuccessor();
+    DemoteReplaced();
+    EndLateOrder();
+  }
   if (phase_ != Phase::kWatching || timers_.Now() < not_before_) {
     return;
   }
@@ -150,11 +164,28 @@
   const auto passed = passed_over_.find(member);
   const auto is_primary =
       group_.primary().IsUsable() && member == group_.primary().member();
-  return entry != nullptr && !entry->leaving && !is_primary &&
+  // While an order may still be carried out, nobody else is ordered to lead.
+  const auto& late = permit_.late_member();
+  if (!origin_.fenced && permit_.HasLateOrder(timers_.Now()) &&
+      late != member && group_.FindEntry(late) != nullptr &&
+      group_.ReachOf(late) != Reach::kRefused) {
+    return false;
+  }
+  return entry != nullptr && (!entry->leaving || last_resort_) && !is_primary &&
          reach != Reach::kRefused && reach != Reach::kSilent &&
          (passed == passed_over_.end() || passed->second <= timers_.Now());
 }
 
+auto PromotionDuty::Candidates() const -> std::vector<std::string> {
+  std::vector<std::string> out;
+  for (const auto& it : group_.MemberNames()) {
+    if (IsCandidate(it)) {
+      out.push_back(it);
+    }
+  }
+  return out;
+}
+
 auto PromotionDuty::BeginHearing(std::string_view reason) -> void {
   phase_ = Phase::kHearing;
   reason_ = std::string(reason);
@@ -163,13 +194,16 @@
   answered_ = 0;
   // Replicas that stop receiving can't fall behind what is acknowledged
   // between their answer and the promotion.
-  paused_ = group_.config().synchronous_replicas > 0;
+  const auto leaving = reason == "leaving";
+  paused_ =
+      group_.config().synchronous_replicas > 0 || (!origin_.fenced && !leaving);
   const auto pause_term = paused_ ? group_.primary().term() + 1 : 0;
-  std::vector<std::string> asked;
-  for (const auto& it : group_.MemberNames()) {
-    if (IsCandidate(it)) {
-      asked.push_back(it);
-    }
+  last_resort_ = false;
+  auto asked = Candidates();
+  if (asked.empty() && !group_.primary().IsUsable()) {
+    // Better one that is about to leave than none.
+    last_resort_ = true;
+    asked = Candidates();
   }
   expected_ = asked.size();
   if (asked.empty()) {
@@ -192,7 +226,15 @@
     return;
   }
   ++answered_;
-  if (status != nullptr) {
+  const auto stale = !origin_.fenced && status != nullptr &&
+                     status->is_primary &&
+                     status->term < group_.primary().term();
+  if (stale) {
+    replaced_[member] = group_.primary().term();
+  } else if (status != nullptr) {
+    if (paused_) {
+      permit_.NotePaused(member, timers_.Now());
+    }
     hearings_.Note(attempt, {member, status->term, status->received});
     if (status->is_primary) {
       // It was promoted already, by another holder or a late order.
@@ -228,7 +270,13 @@
             {"heard", std::to_string(hearings_.size())},
             {"position", std::to_string(choice.candidate.last_entry.position)},
             {"term", std::to_string(question.new_term)}});
-  Order(choice.candidate.member);
+  if (origin_.fenced) {
+    Order(choice.candidate.member);
+  } else if (reason_ == "leaving") {
+    HandOver(choice.candidate.member);
+  } else {
+    HoldOrder(choice.candidate.member);
+  }
 }
 
 auto PromotionDuty::SuspectedMs() const -> std::int64_t {
@@ -252,8 +300,12 @@
                                       {"reason", reason_},
                                       {"fence", std::to_string(fence)},
                                       {"order", std::to_string(order_id_)}});
-  out_.Add(OrderPromotion{order_id_, group_.config().name, member,
-                          ports_.holder, fence});
+  OrderPromotion order{order_id_, group_.config().name, member, ports_.holder,
+                       fence};
+  if (!origin_.fenced) {
+    order.not_after = ports_.lease_until();
+  }
+  out_.Add(std::move(order));
 }
 
 auto PromotionDuty::OnAnswered(std::int64_t id, PromotionOutcome outcome)
@@ -271,6 +323,14 @@
     paused_ = false;
     phase_ = Phase::kWatching;
     suspected_since_.reset();
+    if (!origin_.fenced) {
+      permit_.ForgetLateOrder();
+      permit_.NoteResumed();
+      replaced_[group_.primary().member()] = ordered_term_;
+      replaced_.erase(ordered_member_);
+      // Whatever still serves there is of no use.
+      group_.NoteReadOnly(group_.primary().member());
+    }
     group_.NoteOrdered(ordered_member_, ordered_term_);
     return true;
   }
@@ -281,6 +341,9 @@
       ports_.renew_epoch(group_.config().name);
     }
   }
+  if (outcome == PromotionOutcome::kLost && !origin_.fenced) {
+    permit_.NoteLateOrder(ordered_member_, timers_.Now());
+  }
   Abandon(ToString(outcome));
   return true;
 }
@@ -295,10 +358,18 @@
   }
   phase_ = Phase::kWatching;
   not_before_ = timers_.Now() + kRetryPause;
-  if (std::exchange(paused_, false)) {
-    for (const auto& it : group_.MemberNames()) {
-      group_.Resume(it);
-    }
+  // What may still be carried out keeps the members paused: they vouch for no
+  // primary meanwhile.
+  if (paused_ && (origin_.fenced || !permit_.HasLateOrder(timers_.Now()))) {
+    ResumeMembers();
+  }
+}
+
+auto PromotionDuty::ResumeMembers() -> void {
+  paused_ = false;
+  permit_.NoteResumed();
+  for (const auto& it : group_.MemberNames()) {
+    group_.Resume(it);
   }
 }
 
--- a/kingcuplock/gateway/promotion_duty.h
+++ b/kingcuplock/gateway/promotion_duty.h
@@ -3,7 +3,9 @@
 /// Replaces the primary of one group while this instance holds the duty: weighs
 /// the suspicion against what peers hear, asks the members how far their logs
 /// reach, orders the furthest to lead. Every order has a fencing token of its
-/// own, as an order without an answer may be carried out later.
+/// own, as an order without an answer may be carried out later. Where tokens
+/// are not checked, it also grants the use of the primary, and orders nothing
+/// while a grant, a predecessor or an earlier order could still act.
 ///
 /// Example:
 ///   PromotionDuty duty("bookings", epoch, group, ports, timers, out, log);
@@ -16,6 +18,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "kingcuplock/actions/outbox.h"
 #include "kingcuplock/base/life_guard.h"
@@ -23,6 +26,7 @@
 #include "kingcuplock/failover/candidate.h"
 #include "kingcuplock/gateway/gateway_outbox.h"
 #include "kingcuplock/gateway/group.h"
+#include "kingcuplock/grants/promotion_permit.h"
 
 namespace kingcuplock {
 
@@ -39,10 +43,25 @@
   std::function<void(const std::string& group)> renew_epoch;
   /// Returns the next id of an order.
   std::function<std::int64_t()> next_id;
+  /// Returns until when the own lease can't have lapsed.
+  std::function<Time()> lease_until;
+  /// Tells the former holder that it was replaced, if it can be told.
+  std::function<void(const std::string& holder, std::int64_t epoch)> step_down;
   /// Own instance name.
   std::string holder;
 };
 
+/// Where a duty comes from, and how the platform treats its orders.
+struct DutyOrigin {
+  std::int64_t epoch = 0;
+  /// Former holder that did not give the duty up, empty for none.
+  std::string predecessor = {};
+  /// Longest time that its lease may go on.
+  Duration lease{};
+  /// Whether the platform checks fencing tokens.
+  bool fenced = true;
+};
+
 /// Not thread safe.
 class PromotionDuty {
  public:
@@ -50,7 +69,7 @@
   /// the time after which a member counts as silent.
   static constexpr Milliseconds kPeerVouches{300};
 
-  PromotionDuty(std::int64_t epoch,
+  PromotionDuty(DutyOrigin origin,
                 Group& group,
                 PromotionPorts ports,
                 TimerService& timers,
@@ -66,16 +85,28 @@
   /// Takes a higher epoch of the same holder.
   auto SetEpoch(std::int64_t epoch) -> void;
 
+  /// The former holder ended its duty.
+  auto NoteSteppedDown() -> void;
+
+  /// Returns whether an order is under way, or may still be carried out.
+  auto IsOrdering() const -> bool {
+    return phase_ == Phase::kOrdering || permit_.HasLateOrder(timers_.Now());
+  }
+
+  /// Grants the use of the primary to an instance; 0 for how long if it can't.
+  auto Grant(std::int64_t ask) -> GrantGiven;
+
   /// Takes the answer to an order; returns false if it is not this duty's.
   auto OnAnswered(std::int64_t id, PromotionOutcome outcome) -> bool;
 
  private:
-  enum class Phase { kWatching, kHearing, kOrdering };
+  enum class Phase { kWatching, kHearing, kHandingOver, kHolding, kOrdering };
 
   auto Tick() -> void;
   auto Reason() -> std::optional<std::string_view>;
   auto LostFor() -> Duration;
   auto MayGoOn(std::string_view reason) -> bool;
+  auto Candidates() const -> std::vector<std::string>;
   auto BeginHearing(std::string_view reason) -> void;
   auto OnHeard(std::int64_t attempt,
                const std::string& member,
@@ -84,11 +115,37 @@
   // Returns the time in ms since the reason to promote was first seen.
   auto SuspectedMs() const -> std::int64_t;
   auto Order(const std::string& member) -> void;
+
+  // Without fencing tokens.
+  auto AskForTenure() -> void;
+  auto LookAround() -> void;
+  auto WatchSuccessor() -> void;
+  auto DemoteReplaced() -> void;
+  auto EndLateOrder() -> void;
+  auto HandOver(const std::string& member) -> void;
+  auto AwaitCatchUp(const std::string& member, LogPlace place) -> void;
+  auto PauseAndHold(const std::string& member) -> void;
+  auto HoldOrder(const std::string& member) -> void;
+  auto ResumeMembers() -> void;
   auto Abandon(std::string_view why) -> void;
   auto LogAbandoned(std::string_view why) -> void;
   auto IsCandidate(const std::string& member) const -> bool;
 
   std::int64_t epoch_;
+  DutyOrigin origin_;
+  PromotionPermit<> permit_;
+  bool tenured_ = false;
+  /// Members whose reports, or entries for long enough, show that no former
+  /// holder had them promoted.
+  bool looked_around_ = false;
+  bool looking_ = false;
+  std::optional<Time> look_since_;
+  Time next_step_down_{};
+  Time next_look_{};
+  Time next_demotion_{};
+  /// Replaced primaries that may not know it, and the term that replaced them.
+  std::map<std::string, std::int64_t> replaced_;
+  Time catch_up_until_{};
   Group& group_;
   PromotionPorts ports_;
   TimerService& timers_;
@@ -107,6 +164,8 @@
   std::size_t expected_ = 0;
   std::size_t answered_ = 0;
   bool paused_ = false;
+  /// Whether members that are about to leave may be promoted.
+  bool last_resort_ = false;
   std::size_t most_members_ = 0;
   std::int64_t order_id_ = 0;
   std::string ordered_member_;
--- a/kingcuplock/gateway/session.cc
+++ b/kingcuplock/gateway/session.cc
@@ -9,6 +9,9 @@
 /// Time in ms after which a statement of a transaction counts as lost; above
 /// the slowest ordinary statement that a full queue of a member delays.
 constexpr Milliseconds kLeastStatementPatience{250};
+/// Time in ms that a commit waits for word that its member still leads: the
+/// holder's answer and that of the members, twice.
+constexpr Milliseconds kCommitPatience{150};
 
 auto IsLocal(StatementKind kind) -> bool {
   switch (kind) {
@@ -298,6 +301,47 @@
   if (statement.kind == StatementKind::kExecute) {
     statement.name = name;
   }
+  auto* group = ports_.group(route_.group);
+  const auto needs_lead =
+      statement.kind == StatementKind::kCommit && wrote_ && group != nullptr;
+  if (!needs_lead) {
+    SendPinned(std::move(statement), std::nullopt);
+    return;
+  }
+  group->AwaitLead(pinned_.pool->entry().member, kCommitPatience,
+                   guard_.Bind([this, statement = std::move(statement)](
+                                   std::optional<Time> until) {
+                     if (!pinned_) {
+                       return;
+                     }
+                     if (until) {
+                       SendPinned(statement, until);
+                     } else {
+                       OnCommitUngranted();
+                     }
+                   }));
+}
+
+// Nobody vouches that the member still leads: the commit is not sent.
+auto Session::OnCommitUngranted() -> void {
+  log_.Log(Event::kStatementRefused, {{"request", current_.id},
+                                      {"client", std::to_string(client_)},
+                                      {"group", route_.group},
+                                      {"member", pinned_.pool->entry().member},
+                                      {"transaction", begin_id_},
+                                      {"outcome", "no grant for the primary"}});
+  EndPinned(false);
+  state_ = TransactionState::kIdle;
+  StatementAnswer answer;
+  answer.error = StatementError::kAborted;
+  answer.text =
+      "the primary may have been replaced; the transaction is rolled back, "
+      "start it again";
+  Answer(std::move(answer));
+}
+
+auto Session::SendPinned(SessionStatement statement,
+                         std::optional<Time> not_after) -> void {
   pinned_sent_ = timers_.Now();
   // A transaction whose statement got lost can start again if it is rolled
   // back soon; a commit can only be waited for.
@@ -313,7 +357,7 @@
   pinned_.pool->Run(
       pinned_.link, std::move(statement),
       guard_.Bind([this](const StatementAnswer* it) { OnPinnedAnswer(it); }),
-      2 * Duration(Milliseconds(route_.timeout_ms)));
+      2 * Duration(Milliseconds(route_.timeout_ms)), not_after);
 }
 
 auto Session::OnPinnedDeadline() -> void {
--- a/kingcuplock/gateway/session.h
+++ b/kingcuplock/gateway/session.h
@@ -79,6 +79,9 @@
   auto OnTaskDone(TaskResult result) -> void;
   auto RunPinned(SessionStatement statement,
                  std::optional<PreparedStatement> prepared) -> void;
+  auto SendPinned(SessionStatement statement, std::optional<Time> not_after)
+      -> void;
+  auto OnCommitUngranted() -> void;
   auto LogPinned(const StatementAnswer* answer) -> void;
   auto OnPinnedAnswer(const StatementAnswer* answer) -> void;
   auto OnPinnedDeadline() -> void;
--- a/kingcuplock/gateway/task.h
+++ b/kingcuplock/gateway/task.h
@@ -96,6 +96,9 @@
   /// Floor of the newest attempt, and the age of the sample it came from.
   std::optional<LogPlace> floor;
   Time sent{};
+  /// Until when the member is known to lead, if a grant says so; the statement
+  /// then needs no proof of its own.
+  std::optional<Time> granted_until;
   TimerId deadline_timer = 0;
   TimerId hedge_timer = 0;
 
--- a/kingcuplock/gateway/task_runner.cc
+++ b/kingcuplock/gateway/task_runner.cc
@@ -56,7 +56,7 @@
   auto member() const -> const std::string& { return pool->entry().member; }
   auto begins() const -> bool {
     return task->opening != Opening::kNone ||
-           task->access == Access::kPrimaryRead;
+           (task->access == Access::kPrimaryRead && !task->granted_until);
   }
 };
 
@@ -145,7 +145,9 @@
       [this, attempt](const StatementAnswer* answer) {
         OnMain(attempt, answer);
       },
-      Milliseconds(task.route.timeout_ms));
+      Milliseconds(task.route.timeout_ms),
+      alone && Writes(task.statement, task.prepared_ptr()) ? task.granted_until
+                                                           : std::nullopt);
   if (alone && attempt->begun) {
     RollBackAndRelease(attempt->pool, attempt->link, "");
   } else if (alone) {
--- a/kingcuplock/gateway/task_runner.h
+++ b/kingcuplock/gateway/task_runner.h
@@ -2,7 +2,8 @@
 
 /// Runs a task on a lent connection: set-up, a BEGIN where one is needed, the
 /// statement itself. A statement that needs the primary's lead goes out only
-/// after the member accepted a plain BEGIN, so one that lost the lead refuses.
+/// after the member accepted a plain BEGIN, so one that lost the lead refuses,
+/// unless a grant says that it leads.
 ///
 /// Example:
 ///   TaskRunner runner(timers, {.finished = ..., .setback = ...});
--- /dev/null
+++ b/kingcuplock/grants/grant_rules.h
@@ -0,0 +1,50 @@
+#pragma once
+
+/// The rules of grants as a compile-time policy. The product uses
+/// AllGrantRules; proofs switch one rule off to show what it prevents.
+///
+/// Example:
+///   struct WithoutTenure : AllGrantRules {
+///     static constexpr bool kTenure = false;
+///   };
+
+#include <concepts>
+
+namespace kingcuplock {
+
+/// Every rule in force.
+struct AllGrantRules {
+  /// A grant counts from when it was asked for, not from when it arrived.
+  static constexpr bool kCountFromAsk = true;
+  /// A promotion waits for the end of the grants that its holder gave.
+  static constexpr bool kWaitForGrants = true;
+  /// A promotion waits for the end of what its candidate's reports allowed
+  /// before it was paused.
+  static constexpr bool kWaitForReports = true;
+  /// A paused member gives no evidence that nobody replaces the primary.
+  static constexpr bool kSeePause = true;
+  /// Evidence needs a report of every other member.
+  static constexpr bool kHearAll = true;
+  /// A new holder waits until its predecessor can't order or grant any more.
+  static constexpr bool kTenure = true;
+  /// An order goes out only under a lease that is valid.
+  static constexpr bool kValidLease = true;
+  /// Nothing is granted and nobody else is ordered to lead while an order may
+  /// still be carried out.
+  static constexpr bool kOneOrder = true;
+};
+
+/// A policy that states every rule.
+template <typename T>
+concept GrantRules = requires {
+  { T::kCountFromAsk } -> std::convertible_to<bool>;
+  { T::kWaitForGrants } -> std::convertible_to<bool>;
+  { T::kWaitForReports } -> std::convertible_to<bool>;
+  { T::kSeePause } -> std::convertible_to<bool>;
+  { T::kHearAll } -> std::convertible_to<bool>;
+  { T::kTenure } -> std::convertible_to<bool>;
+  { T::kValidLease } -> std::convertible_to<bool>;
+  { T::kOneOrder } -> std::convertible_to<bool>;
+};
+
+}  // namespace kingcuplock
--- /dev/null
+++ b/kingcuplock/grants/grant_user.h
@@ -0,0 +1,121 @@
+#pragma once
+
+/// An instance's grant for one group, and what waits for one: positions of the
+/// primary's log, which may only be used as floors of reads if the member that
+/// told them still led then.
+///
+/// Example:
+///   GrantUser user;
+///   const auto ask = user.BeginAsk(now);
+///   user.NoteGiven(ask, grant);
+///   for (const auto& it : user.TakeProved(now)) { Use(it); }
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "kingcuplock/base/timer_service.h"
+#include "kingcuplock/grants/lead_grant.h"
+#include "kingcuplock/session/log_place.h"
+
+namespace kingcuplock {
+
+/// Where a member's log ended at `sent` or later.
+struct LeadSample {
+  std::string member;
+  Time sent{};
+  LogPlace place;
+};
+
+/// Not thread safe.
+class GrantUser {
+ public:
+  /// Samples that wait for a grant at most; the oldest go first.
+  static constexpr std::size_t kMostSamples = 32;
+
+  /// Returns the grant in force, or the last one.
+  auto grant() const -> const LeadGrant& { return grant_; }
+
+  /// Returns whether `member` leads at `now` and a statement's way later.
+  auto Covers(std::string_view member, Time now) const -> bool {
+    return grant_.Covers(member, now);
+  }
+
+  /// Begins to ask and returns the request's number; nullopt if a request is
+  /// under way.
+  auto BeginAsk(Time now) -> std::optional<std::int64_t> {
+    used_ = true;
+    if (asked_) {
+      return std::nullopt;
+    }
+    asked_ = now;
+    used_ = false;
+    return ++ask_;
+  }
+
+  /// Returns when the request `ask` was sent, if it still counts.
+  auto AskedAt(std::int64_t ask) const -> std::optional<Time> {
+    return ask == ask_ ? asked_ : std::nullopt;
+  }
+
+  /// Ends the request under way.
+  auto EndAsk() -> void { asked_.reset(); }
+
+  /// Takes a grant, unless a newer term is known.
+  auto Take(const LeadGrant& grant) -> void {
+    if (grant.term > grant_.term ||
+        (grant.term == grant_.term && grant.until > grant_.until)) {
+      grant_ = grant;
+    }
+  }
+
+  /// The member refused as it does not lead.
+  auto Drop(std::string_view member) -> void {
+    if (grant_.member == member) {
+      grant_.until = Time{};
+    }
+  }
+
+  /// Notes that the grant was of use, so that it is renewed.
+  auto NoteUse() -> void { used_ = true; }
+
+  /// Returns whether it was of use since it was asked for.
+  auto WasUsed() const -> bool { return used_; }
+
+  /// Keeps a sample until a grant proves it.
+  auto KeepSample(LeadSample sample) -> void {
+    if (samples_.size() >= kMostSamples) {
+      samples_.pop_front();
+    }
+    samples_.push_back(std::move(sample));
+  }
+
+  /// Returns and forgets the samples that the grant proves at `now`, oldest
+  /// first.
+  auto TakeProved(Time now) -> std::vector<LeadSample> {
+    std::vector<LeadSample> out;
+    if (!grant_.Covers(grant_.member, now)) {
+      return out;
+    }
+    for (auto& it : samples_) {
+      if (it.member == grant_.member) {
+        out.push_back(std::move(it));
+      }
+    }
+    samples_.clear();
+    return out;
+  }
+
+ private:
+  LeadGrant grant_;
+  std::optional<Time> asked_;
+  std::int64_t ask_ = 0;
+  bool used_ = false;
+  std::deque<LeadSample> samples_;
+};
+
+}  // namespace kingcuplock
--- a/kingcuplock/ownership/lease_keeper.h
+++ b/kingcuplock/ownership/lease_keeper.h
@@ -57,6 +57,11 @@
   /// Returns the lease, 0 for none.
   auto lease() const -> std::int64_t { return lease_; }
 
+  /// Returns until when the lease can't have lapsed; Time{} without one.
+  auto ValidUntil() const -> Time {
+    return lease_ != 0 ? valid_until_ : Time{};
+  }
+
   /// Returns whether the lease can't have lapsed yet, whatever the store says.
   auto IsValid() const -> bool {
     return lease_ != 0 && timers_.Now() < valid_until_;
--- a/kingcuplock/ownership/ownership_keeper.cc
+++ b/kingcuplock/ownership/ownership_keeper.cc
@@ -191,6 +191,7 @@
 void OwnershipKeeper::TakeOver(const std::string& database) {
   auto& entry = entries_.at(database);
   OwnerRecord next = entry.record.value_or(OwnerRecord{});
+  next.previous = next.phase == Phase::kReleased ? "" : next.owner;
   next.epoch = std::max(next.epoch + 1, entry.least_epoch);
   next.owner = names_.instance;
   next.lease = lease_.lease();
@@ -208,6 +209,18 @@
   }
 }
 
+void OwnershipKeeper::StepDown(const std::string& database,
+                               std::int64_t epoch) {
+  const auto it = entries_.find(database);
+  if (it == entries_.end() || !it->second.record ||
+      it->second.record->epoch >= epoch) {
+    return;
+  }
+  // Not taken again under an epoch that is known to have passed.
+  it->second.least_epoch = std::max(it->second.least_epoch, epoch + 1);
+  Lose(database, it->second);
+}
+
 void OwnershipKeeper::Write(const std::string& database,
                             std::int64_t term,
                             const std::string& primary,
--- a/kingcuplock/ownership/ownership_keeper.h
+++ b/kingcuplock/ownership/ownership_keeper.h
@@ -114,6 +114,12 @@
   /// Returns whether the record's holder may still hold its lease.
   auto IsHeld(std::string_view database) const -> bool;
 
+  /// Ends an ownership that a record with `epoch` replaced, ahead of its watch.
+  void StepDown(const std::string& database, std::int64_t epoch);
+
+  /// Returns when the own lease may lapse; see LeaseKeeper::ValidUntil().
+  auto LeaseValidUntil() const -> Time { return lease_.ValidUntil(); }
+
   /// Returns whether the own lease is valid; see LeaseKeeper::IsValid().
   auto LeaseIsValid() const -> bool { return lease_.IsValid(); }
 
--- a/kingcuplock/schema/messages.cc
+++ b/kingcuplock/schema/messages.cc
@@ -560,6 +560,71 @@
   internal::ReadOptional(in, "heard_ms", value.heard_ms);
 }
 
+void to_json(nlohmann::json& out, const GrantWanted& value) {
+  out = nlohmann::json::object();
+  out["type"] = "grant_wanted";
+  out["instance"] = value.instance;
+  out["group"] = value.group;
+  out["ask"] = value.ask;
+}
+
+void from_json(const nlohmann::json& in, GrantWanted& value) {
+  internal::RequireObject(in, "GrantWanted");
+  internal::ReadRequired(in, "instance", value.instance);
+  internal::ReadRequired(in, "group", value.group);
+  internal::ReadRequired(in, "ask", value.ask);
+}
+
+void to_json(nlohmann::json& out, const GrantGiven& value) {
+  out = nlohmann::json::object();
+  out["type"] = "grant_given";
+  static const GrantGiven kDefaults;
+  out["group"] = value.group;
+  out["ask"] = value.ask;
+  internal::WriteOptional(out, "member", value.member, kDefaults.member);
+  internal::WriteOptional(out, "term", value.term, kDefaults.term);
+  internal::WriteOptional(out, "lasts_ms", value.lasts_ms, kDefaults.lasts_ms);
+}
+
+void from_json(const nlohmann::json& in, GrantGiven& value) {
+  internal::RequireObject(in, "GrantGiven");
+  internal::ReadRequired(in, "group", value.group);
+  internal::ReadRequired(in, "ask", value.ask);
+  internal::ReadOptional(in, "member", value.member);
+  internal::ReadOptional(in, "term", value.term);
+  internal::ReadOptional(in, "lasts_ms", value.lasts_ms);
+}
+
+void to_json(nlohmann::json& out, const StepDown& value) {
+  out = nlohmann::json::object();
+  out["type"] = "step_down";
+  out["instance"] = value.instance;
+  out["group"] = value.group;
+  out["epoch"] = value.epoch;
+}
+
+void from_json(const nlohmann::json& in, StepDown& value) {
+  internal::RequireObject(in, "StepDown");
+  internal::ReadRequired(in, "instance", value.instance);
+  internal::ReadRequired(in, "group", value.group);
+  internal::ReadRequired(in, "epoch", value.epoch);
+}
+
+void to_json(nlohmann::json& out, const SteppedDown& value) {
+  out = nlohmann::json::object();
+  out["type"] = "stepped_down";
+  out["instance"] = value.instance;
+  out["group"] = value.group;
+  out["epoch"] = value.epoch;
+}
+
+void from_json(const nlohmann::json& in, SteppedDown& value) {
+  internal::RequireObject(in, "SteppedDown");
+  internal::ReadRequired(in, "instance", value.instance);
+  internal::ReadRequired(in, "group", value.group);
+  internal::ReadRequired(in, "epoch", value.epoch);
+}
+
 void to_json(nlohmann::json& out, const OwnershipHint& value) {
   out = nlohmann::json::object();
   static const OwnershipHint kDefaults;
@@ -913,6 +978,7 @@
   static const OwnerRecord kDefaults;
   out["epoch"] = value.epoch;
   out["owner"] = value.owner;
+  internal::WriteOptional(out, "previous", value.previous, kDefaults.previous);
   internal::WriteOptional(out, "lease", value.lease, kDefaults.lease);
   internal::WriteOptional(out, "term", value.term, kDefaults.term);
   internal::WriteOptional(out, "primary", value.primary, kDefaults.primary);
@@ -926,6 +992,7 @@
   internal::RequireObject(in, "OwnerRecord");
   internal::ReadRequired(in, "epoch", value.epoch);
   internal::ReadRequired(in, "owner", value.owner);
+  internal::ReadOptional(in, "previous", value.previous);
   internal::ReadOptional(in, "lease", value.lease);
   internal::ReadOptional(in, "term", value.term);
   internal::ReadOptional(in, "primary", value.primary);
@@ -1079,10 +1146,23 @@
   if (type == "routes_offer") {
     return in.get<RoutesOffer>();
   }
-  throw SchemaError("type",
-                    "unknown frame type; send one of: forward, forward_answer, "
-                    "heartbeat, manifest_wanted, manifest_offer, hand_over, "
-                    "routes_wanted, routes_offer");
+  if (type == "grant_wanted") {
+    return in.get<GrantWanted>();
+  }
+  if (type == "grant_given") {
+    return in.get<GrantGiven>();
+  }
+  if (type == "step_down") {
+    return in.get<StepDown>();
+  }
+  if (type == "stepped_down") {
+    return in.get<SteppedDown>();
+  }
+  throw SchemaError(
+      "type",
+      "unknown frame type; send one of: forward, forward_answer, heartbeat, "
+      "manifest_wanted, manifest_offer, hand_over, routes_wanted, "
+      "routes_offer, grant_wanted, grant_given, step_down, stepped_down");
 }
 
 auto ReadInboundMessage(const nlohmann::json& in) -> InboundMessage {
@@ -1114,10 +1194,23 @@
   if (type == "routes_offer") {
     return in.get<RoutesOffer>();
   }
-  throw SchemaError("type",
-                    "unknown frame type; send one of: request, status_query, "
-                    "forward, heartbeat, manifest_wanted, manifest_offer, "
-                    "hand_over, routes_wanted, routes_offer");
+  if (type == "grant_wanted") {
+    return in.get<GrantWanted>();
+  }
+  if (type == "grant_given") {
+    return in.get<GrantGiven>();
+  }
+  if (type == "step_down") {
+    return in.get<StepDown>();
+  }
+  if (type == "stepped_down") {
+    return in.get<SteppedDown>();
+  }
+  throw SchemaError(
+      "type",
+      "unknown frame type; send one of: request, status_query, forward, "
+      "heartbeat, manifest_wanted, manifest_offer, hand_over, routes_wanted, "
+      "routes_offer, grant_wanted, grant_given, step_down, stepped_down");
 }
 
 auto ReadStoreReply(const nlohmann::json& in) -> StoreReply {
--- a/kingcuplock/schema/messages.h
+++ b/kingcuplock/schema/messages.h
@@ -586,6 +586,88 @@
 /// wrong.
 void from_json(const nlohmann::json& in, GroupReport& value);
 
+/// Asks the holder of a group's promotion duty for a grant to use the primary.
+struct GrantWanted {
+  /// Sender.
+  std::string instance{};
+  /// Group.
+  std::string group{};
+  /// Number of the request, told back in the answer.
+  std::int64_t ask{};
+
+  auto operator==(const GrantWanted&) const -> bool = default;
+};
+
+/// Writes `value` to `out`, leaving out members that have their default.
+void to_json(nlohmann::json& out, const GrantWanted& value);
+
+/// Reads `value`. Throws SchemaError naming the member that is missing or
+/// wrong.
+void from_json(const nlohmann::json& in, GrantWanted& value);
+
+/// Tells who leads a group, and for how long nobody else does.
+struct GrantGiven {
+  /// Group.
+  std::string group{};
+  /// Number of the request that this answers.
+  std::int64_t ask{};
+  /// Primary.
+  std::string member{};
+  /// Term in which it leads.
+  std::int64_t term{};
+  /// Validity in ms, counted from when the request was sent; 0 if nothing is
+  /// granted.
+  std::int64_t lasts_ms{};
+
+  auto operator==(const GrantGiven&) const -> bool = default;
+};
+
+/// Writes `value` to `out`, leaving out members that have their default.
+void to_json(nlohmann::json& out, const GrantGiven& value);
+
+/// Reads `value`. Throws SchemaError naming the member that is missing or
+/// wrong.
+void from_json(const nlohmann::json& in, GrantGiven& value);
+
+/// Tells the former holder of a group's promotion duty that it was replaced.
+struct StepDown {
+  /// Sender, the new holder.
+  std::string instance{};
+  /// Group.
+  std::string group{};
+  /// Epoch of the new holder.
+  std::int64_t epoch{};
+
+  auto operator==(const StepDown&) const -> bool = default;
+};
+
+/// Writes `value` to `out`, leaving out members that have their default.
+void to_json(nlohmann::json& out, const StepDown& value);
+
+/// Reads `value`. Throws SchemaError naming the member that is missing or
+/// wrong.
+void from_json(const nlohmann::json& in, StepDown& value);
+
+/// Tells the new holder of a promotion duty that the sender orders no promotion
+/// under a lower epoch.
+struct SteppedDown {
+  /// Sender, the former holder.
+  std::string instance{};
+  /// Group.
+  std::string group{};
+  /// Epoch of the new holder.
+  std::int64_t epoch{};
+
+  auto operator==(const SteppedDown&) const -> bool = default;
+};
+
+/// Writes `value` to `out`, leaving out members that have their default.
+void to_json(nlohmann::json& out, const SteppedDown& value);
+
+/// Reads `value`. Throws SchemaError naming the member that is missing or
+/// wrong.
+void from_json(const nlohmann::json& in, SteppedDown& value);
+
 /// Who owns a database, as far as the sender knows.
 struct OwnershipHint {
   /// Database name.
@@ -970,6 +1052,8 @@
   std::int64_t epoch{};
   /// Owner instance.
   std::string owner{};
+  /// Owner before it that did not give the record up, empty for none.
+  std::string previous{};
   /// Lease that holds the record.
   std::int64_t lease{};
   /// Newest term begun.
@@ -1133,7 +1217,11 @@
                                  ManifestOffer,
                                  HandOver,
                                  RoutesWanted,
-                                 RoutesOffer>;
+                                 RoutesOffer,
+                                 GrantWanted,
+                                 GrantGiven,
+                                 StepDown,
+                                 SteppedDown>;
 
 /// Reads the alternative that `in["type"]` names. Throws SchemaError for any
 /// other.
@@ -1148,7 +1236,11 @@
                                     ManifestOffer,
                                     HandOver,
                                     RoutesWanted,
-                                    RoutesOffer>;
+                                    RoutesOffer,
+                                    GrantWanted,
+                                    GrantGiven,
+                                    StepDown,
+                                    SteppedDown>;
 
 /// Reads the alternative that `in["type"]` names. Throws SchemaError for any
 /// other.
--- a/kingcuplock/schema/settings.h
+++ b/kingcuplock/schema/settings.h
@@ -106,6 +106,9 @@
   Address promotion{};
   /// Time in ms from SIGTERM to SIGKILL.
   std::int64_t stop_ms{6000};
+  /// Whether the promotion service checks fencing tokens, and a promotion ends
+  /// the lead of the primary before it.
+  bool promotions_fenced{false};
   /// Time in ms after which a leaving member gets no new work.
   std::int64_t leaving_ms{7000};
   /// Timings.
--- a/kingcuplock/statement/statement.cc
+++ b/kingcuplock/statement/statement.cc
@@ -70,6 +70,8 @@
       return "pause";
     case StatementKind::kResume:
       return "resume";
+    case StatementKind::kDemote:
+      return "demote";
     case StatementKind::kMalformed:
       return "malformed";
   }
--- a/kingcuplock/statement/statement.h
+++ b/kingcuplock/statement/statement.h
@@ -37,6 +37,8 @@
   kPause,
   /// For members only: ends kPause.
   kResume,
+  /// For members only: makes a primary of a lower term a replica.
+  kDemote,
   /// Text that is none of these.
   kMalformed
 };
@@ -49,7 +51,7 @@
   /// Session value, or prepared statement, that it names.
   std::string name = {};
   /// Key and data of reads, writes and executions; a session value's data; the
-  /// shape of a prepared statement; the term of kPause.
+  /// shape of a prepared statement; the term of kPause and kDemote.
   std::string arguments = {};
   /// For kPrepare: whether the statement writes.
   bool prepares_write = false;
@@ -97,6 +99,8 @@
   std::int64_t term = 0;
   /// End of what it received.
   LogPlace received;
+  /// Term for which kPause stopped it from receiving, 0 for none.
+  std::int64_t paused_term = 0;
   std::int64_t lag_ms = 0;
   std::int64_t busy = 0;
   std::int64_t connections = 0;
@@ -114,7 +118,7 @@
   TransactionState state = TransactionState::kIdle;
   /// End of the member's log, if it told.
   std::optional<LogPlace> place;
-  /// Of kStatus, kPause and kResume.
+  /// Of kStatus, kPause, kResume and kDemote.
   std::optional<MemberReport> status;
 
   auto IsOk() const -> bool { return error == StatementError::kNone; }
--- a/standin/statements/statement_group.cc
+++ b/standin/statements/statement_group.cc
@@ -6,6 +6,10 @@
 namespace kingcuplock {
 namespace {
 
+/// Time in ms after which a replaced primary that reaches its successor learns
+/// of it.
+constexpr Milliseconds kLearns{1000};
+
 auto Refusal(StatementError error, TransactionState state) -> StatementAnswer {
   StatementAnswer answer;
   answer.error = error;
@@ -31,15 +35,23 @@
 auto StatementGroup::Advance(Time now) -> void {
   if (pending_ && now >= pending_->second) {
     const auto member = std::exchange(pending_, std::nullopt)->first;
-    TakeOver(member);
+    TakeOver(member, now);
   }
   for (auto& [name, member] : members_) {
+    const auto learns = member.replaced_at && !member.apart &&
+                        now >= *member.replaced_at + kLearns;
+    if (learns) {
+      EndReplaced(member);
+    }
+    if (member.replaced_at) {
+      continue;
+    }
     if (name == primary_ && member.up) {
       member.received = member.applied = commits_.size();
       continue;
     }
     const auto cut = member.deaf || member.paused_term > term_ || !member.up ||
-                     !members_.at(primary_).up;
+                     (!primary_.empty() && !members_.at(primary_).up);
     const auto arrived = [&](std::size_t n, Duration lag) {
       return n < commits_.size() && commits_[n].at + lag <= now;
     };
@@ -53,13 +65,33 @@
   }
 }
 
-auto StatementGroup::TakeOver(const std::string& member) -> void {
+// Returns whether a member acts as the primary, rightly or not.
+auto StatementGroup::Acts(const std::string& member) const -> bool {
+  return member == primary_ || members_.at(member).replaced_at.has_value();
+}
+
+auto StatementGroup::EndReplaced(Member& member) -> void {
+  member.replaced_at.reset();
+  member.own.clear();
+  member.term = term_;
+}
+
+auto StatementGroup::TakeOver(const std::string& member, Time now) -> void {
   if (!members_.at(member).up || member == primary_) {
     return;
   }
   ++promotions_;
   ++term_;
+  if (!options_.fenced && !primary_.empty() && members_.at(primary_).up) {
+    auto& before = members_.at(primary_);
+    before.replaced_at = now;
+    before.own = commits_;
+  }
   primary_ = member;
+  members_.at(member).replaced_at.reset();
+  for (auto& [name, it] : members_) {
+    it.term = it.replaced_at ? it.term : term_;
+  }
   const auto kept = members_.at(member).received;
   commits_.resize(kept);
   for (auto& [name, it] : members_) {
@@ -78,6 +110,10 @@
   if (place.position == 0) {
     return true;
   }
+  if (member.replaced_at) {
+    return std::any_of(member.own.begin(), member.own.end(),
+                       [place](const auto& it) { return it.place == place; });
+  }
   const auto end =
       commits_.begin() + static_cast<std::ptrdiff_t>(member.applied);
   return std::any_of(commits_.begin(), end,
@@ -120,7 +156,9 @@
     session.state = TransactionState::kFailed;
   }
   answer.state = session.state;
-  answer.place = PlaceOf(members_.at(session.member).applied);
+  const auto& held = members_.at(session.member);
+  answer.place = held.replaced_at && !held.own.empty() ? held.own.back().place
+                                                       : PlaceOf(held.applied);
   if (answer.IsOk() && answer.signature.empty()) {
     answer.signature = "-";
   }
@@ -131,7 +169,7 @@
                          const SessionStatement& statement,
                          Time now) -> StatementAnswer {
   auto& member = members_.at(session.member);
-  const auto leads = session.member == primary_;
+  const auto leads = Acts(session.member);
   if (statement.after && !Holds(member, *statement.after)) {
     return Refusal(StatementError::kLagging, session.state);
   }
@@ -143,7 +181,7 @@
         return Refusal(StatementError::kReadOnly, session.state);
       }
       session.state = TransactionState::kOpen;
-      session.term = term_;
+      session.term = member.term;
       session.writes.clear();
       return {};
     case StatementKind::kRollback:
@@ -163,8 +201,11 @@
       return {};
     case StatementKind::kStatus:
     case StatementKind::kPause:
-    case StatementKind::kResume: {
-      if (statement.kind != StatementKind::kStatus) {
+    case StatementKind::kResume:
+    case StatementKind::kDemote: {
+      if (statement.kind == StatementKind::kDemote) {
+        Demote(session.member, std::stoll(statement.arguments));
+      } else if (statement.kind != StatementKind::kStatus) {
         member.paused_term = statement.kind == StatementKind::kPause
                                  ? std::stoll(statement.arguments)
                                  : 0;
@@ -181,7 +222,7 @@
 auto StatementGroup::RunAtMember(Session& session,
                                  const SessionStatement& statement,
                                  Time now) -> StatementAnswer {
-  const auto leads = session.member == primary_;
+  const auto leads = Acts(session.member);
   const auto in_transaction = session.state == TransactionState::kOpen;
   if (session.state == TransactionState::kFailed) {
     return Refusal(StatementError::kMalformed, session.state);
@@ -197,9 +238,10 @@
     shape = it->second.second;
   }
   const auto commits = statement.kind == StatementKind::kCommit;
-  const auto lost_lead = in_transaction && !session.read_only &&
-                         (!leads || session.term != term_) &&
-                         !(commits && session.writes.empty());
+  const auto lost_lead =
+      in_transaction && !session.read_only &&
+      (!leads || session.term != members_.at(session.member).term) &&
+      !(commits && session.writes.empty());
   if (lost_lead || (writes && (!leads || session.read_only))) {
     return Refusal(StatementError::kReadOnly, session.state);
   }
@@ -225,6 +267,12 @@
 auto StatementGroup::Commit(const std::string& member,
                             std::vector<std::string> writes,
                             Time now) -> void {
+  if (auto& it = members_.at(member); it.replaced_at) {
+    const auto at = it.own.empty() ? 1 : it.own.back().place.position + 1;
+    it.own.push_back({{it.term, at}, now, writes});
+    strays_.push_back(it.own.back());
+    return;
+  }
   const auto position =
       commits_.empty() ? 1 : commits_.back().place.position + 1;
   commits_.push_back({{term_, position}, now, std::move(writes)});
@@ -241,17 +289,35 @@
 
 auto StatementGroup::Status(const std::string& member) const -> MemberReport {
   MemberReport report;
-  report.is_primary = member == primary_;
-  report.term = term_;
-  report.received = PlaceOf(members_.at(member).received);
+  const auto& it = members_.at(member);
+  report.is_primary = Acts(member);
+  report.term = it.term;
+  report.received =
+      it.replaced_at ? (it.own.empty() ? LogPlace{1, 0} : it.own.back().place)
+                     : PlaceOf(it.received);
+  report.paused_term = it.paused_term;
   return report;
 }
 
+// A primary of a lower term becomes a replica, also where nobody leads then.
+auto StatementGroup::Demote(const std::string& member, std::int64_t term)
+    -> void {
+  auto& it = members_.at(member);
+  if (it.term >= term) {
+    return;
+  }
+  if (it.replaced_at) {
+    EndReplaced(it);
+  } else if (member == primary_) {
+    primary_.clear();
+  }
+}
+
 auto StatementGroup::Order(const std::string& member,
                            std::int64_t fence,
                            Time now) -> OrderOutcome {
   Advance(now);
-  if (fence < highest_fence_) {
+  if (options_.fenced && fence < highest_fence_) {
     return OrderOutcome::kStaleFence;
   }
   highest_fence_ = fence;
@@ -273,19 +339,27 @@
 auto StatementGroup::Restart(const std::string& member) -> void {
   members_.at(member).up = true;
   members_.at(member).paused_term = 0;
+  if (members_.at(member).replaced_at) {
+    EndReplaced(members_.at(member));
+  }
 }
 
 auto StatementGroup::SetDeaf(const std::string& member, bool deaf) -> void {
   members_.at(member).deaf = deaf;
 }
 
+auto StatementGroup::SetApart(const std::string& member, bool apart) -> void {
+  members_.at(member).apart = apart;
+  members_.at(member).deaf = apart;
+}
+
 auto StatementGroup::IsUp(const std::string& member) const -> bool {
   return members_.at(member).up;
 }
 
 auto StatementGroup::Leads(const std::string& member, Time now) -> bool {
   Advance(now);
-  return member == primary_;
+  return Acts(member);
 }
 
 auto StatementGroup::Term(Time now) -> std::int64_t {
--- a/standin/statements/statement_group.h
+++ b/standin/statements/statement_group.h
@@ -32,6 +32,10 @@
   Duration promotion_time{Milliseconds(1000)};
   /// Connections that a member accepts.
   std::int64_t connections = 16;
+  /// Whether orders are checked by their fencing tokens, and a promotion ends
+  /// the lead of the primary before it. Otherwise that one goes on until it is
+  /// demoted or, a second later, reaches its successor.
+  bool fenced = true;
 };
 
 /// One read, write or commit that a member ran.
@@ -98,7 +102,15 @@
   /// Stops or resumes what a replica receives.
   auto SetDeaf(const std::string& member, bool deaf) -> void;
 
+  /// Cuts a member off from the others.
+  auto SetApart(const std::string& member, bool apart) -> void;
+
   auto IsUp(const std::string& member) const -> bool;
+  /// Returns how many commits a replaced primary took, by the writes in them.
+  auto Strays() const -> const std::vector<StatementCommit>& { return strays_; }
+  auto PausedTerm(const std::string& member) const -> std::int64_t {
+    return members_.at(member).paused_term;
+  }
   auto Leads(const std::string& member, Time now) -> bool;
   auto Term(Time now) -> std::int64_t;
   auto runs() const -> const std::vector<StatementRun>& { return runs_; }
@@ -114,6 +126,13 @@
   struct Member {
     bool up = true;
     bool deaf = false;
+    bool apart = false;
+    /// Since when another member leads though this one goes on.
+    std::optional<Time> replaced_at;
+    /// Term in which it leads, or goes on, or that it follows.
+    std::int64_t term = 1;
+    /// Commits that it held when it was replaced.
+    std::vector<StatementCommit> own;
     std::int64_t paused_term = 0;
     /// Commits received and applied, counted from the log's begin.
     std::size_t received = 0;
@@ -130,7 +149,9 @@
   };
 
   auto Advance(Time now) -> void;
-  auto TakeOver(const std::string& member) -> void;
+  auto TakeOver(const std::string& member, Time now) -> void;
+  auto Acts(const std::string& member) const -> bool;
+  auto EndReplaced(Member& member) -> void;
   auto PlaceOf(std::size_t commits) const -> LogPlace;
   auto Holds(const Member& member, LogPlace place) const -> bool;
   auto Commit(const std::string& member,
@@ -145,6 +166,7 @@
               const SessionStatement& statement,
               const std::string& shape,
               Time now) -> void;
+  auto Demote(const std::string& member, std::int64_t term) -> void;
   auto Status(const std::string& member) const -> MemberReport;
 
   std::string name_;
@@ -154,6 +176,7 @@
   std::map<std::int64_t, Session> sessions_;
   std::int64_t last_session_ = 0;
   std::vector<StatementCommit> commits_;
+  std::vector<StatementCommit> strays_;
   std::vector<StatementRun> runs_;
   std::string primary_;
   std::int64_t term_ = 1;
--- a/testing/gateway_check.cc
+++ b/testing/gateway_check.cc
@@ -106,6 +106,17 @@
     }
   }
   const auto acknowledged = AcknowledgedWrites(said_);
+  for (const auto& commit : group_.Strays()) {
+    for (const auto& write : commit.writes) {
+      const auto told =
+          std::any_of(acknowledged.begin(), acknowledged.end(),
+                      [&](const auto& it) { return it.write == write; });
+      if (told) {
+        broken.push_back(fmt::format(
+            "{} is acknowledged by a primary that was replaced", write));
+      }
+    }
+  }
   const Milliseconds max_age(options_.max_age_ms);
   for (const auto& run : group_.runs()) {
     const auto found = by_id.find(run.id);
--- a/testing/gateway_fixture.cc
+++ b/testing/gateway_fixture.cc
@@ -10,8 +10,9 @@
 /// Step of virtual time.
 constexpr Milliseconds kStep{1};
 
-auto Settings(std::size_t n) -> GatewaySettings {
+auto Settings(std::size_t n, bool fenced) -> GatewaySettings {
   GatewaySettings out;
+  out.promotions_fenced = fenced;
   out.instance = fmt::format("gw-{}", n);
   out.data_centre = fmt::format("dc-{}", n % 3);
   out.listen = {"10.0.0.1", 1};
@@ -116,8 +117,8 @@
   node.stopped = false;
   node.timers = std::make_unique<TimerService>(timers_.Now());
   node.gateway = std::make_unique<Gateway>(
-      Settings(n), fmt::format("gw-{}@{}", n, node.life), *node.timers,
-      node.out, node.shell, [](StatementError, Duration) {});
+      Settings(n, options_.group.fenced), fmt::format("gw-{}@{}", n, node.life),
+      *node.timers, node.out, node.shell, [](StatementError, Duration) {});
   node.gateway->Start();
   HandOut(n);
 }
--- a/testing/gateway_fixture_actions.cc
+++ b/testing/gateway_fixture_actions.cc
@@ -1,6 +1,8 @@
 // What gateways ask of the store, of their peers and of members.
 
 #include <algorithm>
+#include <type_traits>
+#include <variant>
 
 #include "kingcuplock/schema/codec.h"
 #include "testing/gateway_fixture.h"
@@ -140,22 +142,23 @@
   const auto [far, id] = found->second;
   MessageArrived event;
   event.connection = id;
-  if (inbound) {
-    if (const auto* beat = std::get_if<Heartbeat>(&send.message)) {
-      event.message = PeerMessage{*beat};
-    } else if (const auto* offer = std::get_if<RoutesOffer>(&send.message)) {
-      event.message = PeerMessage{*offer};
-    } else if (const auto* wanted = std::get_if<RoutesWanted>(&send.message)) {
-      event.message = PeerMessage{*wanted};
-    }
-  } else {
-    if (const auto* beat = std::get_if<Heartbeat>(&send.message)) {
-      event.message = InboundMessage{*beat};
-    } else if (const auto* offer = std::get_if<RoutesOffer>(&send.message)) {
-      event.message = InboundMessage{*offer};
-    } else if (const auto* wanted = std::get_if<RoutesWanted>(&send.message)) {
-      event.message = InboundMessage{*wanted};
-    }
+  const auto passed = std::visit(
+      [&](const auto& message) {
+        using Message = std::decay_t<decltype(message)>;
+        if constexpr (std::is_constructible_v<PeerMessage, Message> &&
+                      std::is_constructible_v<InboundMessage, Message>) {
+          if (inbound) {
+            event.message = PeerMessage{message};
+          } else {
+            event.message = InboundMessage{message};
+          }
+          return true;
+        }
+        return false;
+      },
+      send.message);
+  if (!passed) {
+    return;
   }
   After(options_.delay, far,
         [this, far = far, event] { nodes_[far]->gateway->Handle(event); });
