--- a/kingcuplock/gateway/gateway.h
+++ b/kingcuplock/gateway/gateway.h
@@ -129,6 +129,7 @@
   auto OnDutyAcquired(const std::string& group, const OwnerRecord& record)
       -> void;
   auto OnDutyLost(const std::string& group) -> void;
+  auto HelperOf(const std::string& group) -> std::string;
   auto AskGrant(const std::string& group, std::int64_t ask) -> bool;
   auto OnGrantWanted(ConnectionId source, const GrantWanted& wanted) -> void;
   auto OnStepDown(ConnectionId source, const StepDown& told) -> void;
@@ -142,6 +143,7 @@
   auto IsIsolated() const -> bool;
 
   // Planned stop.
+  auto ReleaseDuties() -> void;
   auto StopTick() -> void;
   auto CloseResting() -> void;
   auto FinishStop() -> void;
@@ -183,7 +185,8 @@
   std::optional<Time> stopping_since_;
   int refused_probes_ = 0;
   std::optional<Time> out_of_rotation_since_;
-  bool duties_released_ = false;
+  /// Groups whose duty was given up.
+  std::set<std::string> released_;
   bool stop_complete_ = false;
   bool last_ready_ = false;
 };
--- a/kingcuplock/gateway/gateway_duty.cc
+++ b/kingcuplock/gateway/gateway_duty.cc
@@ -46,9 +46,13 @@
   };
   DutyOrigin origin;
   origin.epoch = record.epoch;
-  // An earlier run of this instance is over.
-  origin.predecessor =
-      record.previous == settings_.instance ? "" : record.previous;
+  origin.term = record.term;
+  origin.predecessor = record.previous;
+  if (record.previous == settings_.instance) {
+    // An earlier run of this instance is over, but can't tell how far it went.
+    origin.predecessor.clear();
+    origin.term = 0;
+  }
   origin.lease = Milliseconds(settings_.timing.lease_ttl_ms);
   origin.fenced = settings_.promotions_fenced;
   duties_[group] = std::make_unique<PromotionDuty>(
@@ -78,21 +82,59 @@
     return true;
   }
   const auto* record = duties_kept_.RecordOf(group);
-  return record != nullptr &&
-         peers_.Send(record->owner,
-                     GrantWanted{settings_.instance, group, ask});
+  const GrantWanted wanted{settings_.instance, group, ask};
+  auto sent = record != nullptr && peers_.Send(record->owner, wanted);
+  if (const auto helper = HelperOf(group); !helper.empty()) {
+    sent = peers_.Send(helper, wanted) || sent;
+  }
+  return sent;
+}
+
+// While the holder grants nothing, one instance asks the members for all.
+// Returns it, or nothing while the holder does or if it is this instance.
+auto Gateway::HelperOf(const std::string& group) -> std::string {
+  const auto* it = FindGroup(group);
+  if (it == nullptr || !it->LacksHolder()) {
+    return {};
+  }
+  const auto* record = duties_kept_.RecordOf(group);
+  auto live = peers_.Live();
+  std::erase_if(live, [&](const auto& name) {
+    return record != nullptr && name == record->owner &&
+           name != settings_.instance;
+  });
+  const auto first = std::min_element(
+      live.begin(), live.end(), [&](const auto& left, const auto& right) {
+        return RendezvousRank(group, left, live) <
+               RendezvousRank(group, right, live);
+      });
+  return first == live.end() || *first == settings_.instance ? std::string()
+                                                             : *first;
 }
 
 auto Gateway::OnGrantWanted(ConnectionId source, const GrantWanted& wanted)
     -> void {
   const auto duty = duties_.find(wanted.group);
-  GrantGiven given;
-  given.group = wanted.group;
-  given.ask = wanted.ask;
+  auto* group = FindGroup(wanted.group);
   if (duty != duties_.end()) {
-    given = duty->second->Grant(wanted.ask);
+    const auto given = duty->second->Grant(wanted.ask);
+    if (given.lasts_ms > 0 || duty->second->IsPromoting()) {
+      shell_.Send(source, given);
+      return;
+    }
+  }
+  if (group == nullptr) {
+    shell_.Send(source, GrantGiven{wanted.group, wanted.ask});
+    return;
   }
-  shell_.Send(source, given);
+  group->ShareGrant([this, source, wanted](const LeadGrant& grant) {
+    const auto lasts = std::chrono::duration_cast<Milliseconds>(
+        grant.until - timers_.Now());
+    shell_.Send(source, GrantGiven{wanted.group, wanted.ask, grant.member,
+                                   grant.term,
+                                   std::max<std::int64_t>(lasts.count(), 0),
+                                   true});
+  });
 }
 
 // A new holder waits for this answer, so it is given only once nothing that
@@ -104,8 +146,10 @@
   }
   duties_kept_.StepDown(told.group, told.epoch);
   if (!duties_.contains(told.group)) {
+    const auto* group = FindGroup(told.group);
     shell_.Send(source,
-                SteppedDown{settings_.instance, told.group, told.epoch});
+                SteppedDown{settings_.instance, told.group, told.epoch,
+                            group != nullptr ? group->primary().term() : 0});
   }
 }
 
@@ -114,7 +158,7 @@
   const auto* record = duties_kept_.RecordOf(told.group);
   if (duty != duties_.end() && record != nullptr &&
       record->previous == told.instance && record->epoch == told.epoch) {
-    duty->second->NoteSteppedDown();
+    duty->second->NoteSteppedDown(told.term);
   }
 }
 
--- a/kingcuplock/gateway/gateway_stop.cc
+++ b/kingcuplock/gateway/gateway_stop.cc
@@ -50,18 +50,34 @@
               {"sessions", std::to_string(sessions_.size())}});
   duties_kept_.StopAcquiring();
   for (const auto& [name, group] : groups_) {
-    if (duties_kept_.Owns(name)) {
-      duties_kept_.Release(name, [](bool) {});
+    const auto duty = duties_.find(name);
+    if (duty != duties_.end()) {
+      duty->second->Retire();
     }
   }
+  ReleaseDuties();
   SendHeartbeats();
   StopTick();
 }
 
+// A duty whose order is under way is kept until it was answered.
+auto Gateway::ReleaseDuties() -> void {
+  for (const auto& [name, group] : groups_) {
+    const auto duty = duties_.find(name);
+    const auto ordering = !settings_.promotions_fenced &&
+                          duty != duties_.end() && duty->second->IsOrdering();
+    if (duties_kept_.Owns(name) && !ordering && released_.insert(name).second) {
+      duties_kept_.Release(
+          name, [](bool) {}, group->primary().term());
+    }
+  }
+}
+
 auto Gateway::StopTick() -> void {
   if (stop_complete_) {
     return;
   }
+  ReleaseDuties();
   const auto now = timers_.Now();
   const auto stopping_for = now - *stopping_since_;
   const auto left_rotation =
--- a/kingcuplock/gateway/group.h
+++ b/kingcuplock/gateway/group.h
@@ -129,6 +129,13 @@
   /// be sent now, and then asks for a grant.
   auto LeadsUntil(const std::string& member) -> std::optional<Time>;
 
+  /// Calls back with the grant in force, or once there is one; with an empty one
+  /// if none comes soon.
+  auto ShareGrant(std::function<void(const LeadGrant&)> callback) -> void;
+
+  /// Returns whether the duty's holder gave no grant when last asked.
+  auto LacksHolder() const -> bool { return lacks_holder_; }
+
   /// Calls back once LeadsUntil() has a value, with it, or with nullopt after
   /// `patience`.
   auto AwaitLead(const std::string& member,
@@ -230,6 +237,7 @@
 
   // Grants.
   struct LeadWaiter {
+    /// Empty for any.
     std::string member;
     std::function<void(std::optional<Time>)> callback;
   };
@@ -240,6 +248,9 @@
     std::map<std::string, std::optional<MemberReport>> reports;
   };
   auto WantGrant() -> void;
+  auto AddWaiter(const std::string& member,
+                 Duration patience,
+                 std::function<void(std::optional<Time>)> callback) -> void;
   auto GatherEvidence(std::int64_t ask) -> void;
   auto OnEvidence(const EvidenceRound& round) -> void;
   auto TakeGrant(const LeadGrant& grant, std::string_view source) -> void;
@@ -278,6 +289,8 @@
   std::uint64_t last_waiter_ = 0;
   /// Request for which members are being asked, 0 for none.
   std::int64_t gathering_ = 0;
+  /// Whether the holder did not answer when last asked, or granted nothing.
+  bool lacks_holder_ = false;
   /// Whether the lack of a grant was logged.
   bool lacks_grant_ = false;
   bool locating_ = false;
--- a/kingcuplock/gateway/group_grants.cc
+++ b/kingcuplock/gateway/group_grants.cc
@@ -13,6 +13,10 @@
 /// Time in ms for the holder's answer before the members are asked: some round
 /// trips between data centres.
 constexpr Milliseconds kHolderPatience{30};
+/// Time in ms for another instance that asks the members, beside that.
+constexpr Milliseconds kHelperPatience{30};
+/// Time in ms that a peer's request waits for a grant: its own patience.
+constexpr Milliseconds kSharePatience{60};
 /// Pause in ms before a grant is asked for again after nobody gave one.
 constexpr Milliseconds kAskPause{50};
 /// Part of a grant's validity after which one in use is renewed, in percent.
@@ -36,6 +40,20 @@
   return grants_.grant().until - kWayToMember;
 }
 
+auto Group::ShareGrant(std::function<void(const LeadGrant&)> callback) -> void {
+  const auto answer = [this, callback = std::move(callback)](
+                          std::optional<Time> until) {
+    callback(until ? grants_.grant() : LeadGrant{});
+  };
+  if (grants_.Covers(grants_.grant().member, timers_.Now())) {
+    grants_.NoteUse();
+    answer(grants_.grant().until);
+    return;
+  }
+  WantGrant();
+  AddWaiter("", kSharePatience, answer);
+}
+
 auto Group::AwaitLead(const std::string& member,
                       Duration patience,
                       std::function<void(std::optional<Time>)> callback)
@@ -44,6 +62,13 @@
     callback(until);
     return;
   }
+  AddWaiter(member, patience, std::move(callback));
+}
+
+auto Group::AddWaiter(const std::string& member,
+                      Duration patience,
+                      std::function<void(std::optional<Time>)> callback)
+    -> void {
   const auto id = ++last_waiter_;
   waiters_[id] = {member, std::move(callback)};
   timers_.After(patience, guard_.Bind([this, id] {
@@ -62,8 +87,11 @@
     GatherEvidence(*ask);
     return;
   }
-  timers_.After(kHolderPatience, guard_.Bind([this, ask = *ask] {
+  const Duration patience =
+      lacks_holder_ ? kHolderPatience + kHelperPatience : kHolderPatience;
+  timers_.After(patience, guard_.Bind([this, ask = *ask] {
     if (grants_.AskedAt(ask)) {
+      lacks_holder_ = true;
       GatherEvidence(ask);
     }
   }));
@@ -75,13 +103,15 @@
     return;
   }
   if (given.lasts_ms > 0) {
+    lacks_holder_ = lacks_holder_ && given.shared;
     TakeGrant(GrantFromHolder(given.member, given.term, *asked, timers_.Now(),
                               Milliseconds(given.lasts_ms)),
-              "holder");
+              given.shared ? "peer" : "holder");
   } else if (primary_.IsPending()) {
     // The holder tells when the member that it ordered leads.
     OnNoGrant(given.ask);
   } else {
+    lacks_holder_ = true;
     GatherEvidence(given.ask);
   }
 }
@@ -173,7 +203,7 @@
     }
   }));
   for (auto it = waiters_.begin(); it != waiters_.end();) {
-    if (it->second.member != grant.member) {
+    if (!it->second.member.empty() && it->second.member != grant.member) {
       ++it;
       continue;
     }
--- a/kingcuplock/gateway/promotion_duty.cc
+++ b/kingcuplock/gateway/promotion_duty.cc
@@ -39,14 +39,19 @@
                              Outbox& log)
     : epoch_(origin.epoch),
       origin_(std::move(origin)),
-      permit_(origin_.predecessor.empty()
-                  ? timers.Now()
-                  : timers.Now() + origin_.lease + kGrantLife),
+      permit_(timers.Now(),
+              origin_.predecessor.empty() ? timers.Now()
+                                          : timers.Now() + origin_.lease),
+      acquired_(timers.Now()),
       group_(group),
       ports_(std::move(ports)),
       timers_(timers),
       out_(out),
-      log_(log) {}
+      log_(log) {
+  if (origin_.predecessor.empty() && origin_.term > 0) {
+    told_term_ = origin_.term;
+  }
+}
 
 PromotionDuty::~PromotionDuty() {
   timers_.Cancel(tick_timer_);
@@ -66,7 +71,7 @@
 auto PromotionDuty::Tick() -> void {
   tick_timer_ = timers_.After(kTick, guard_.Bind([this] { Tick(); }));
   most_members_ = std::max(most_members_, group_.MemberNames().size());
-  if (!origin_.fenced) {
+  if (!origin_.fenced && !retired_) {
     AskForTenure();
     if (!tenured_) {
       return;
@@ -76,7 +81,8 @@
     DemoteReplaced();
     EndLateOrder();
   }
-  if (phase_ != Phase::kWatching || timers_.Now() < not_before_) {
+  if (retired_ || phase_ != Phase::kWatching ||
+      timers_.Now() < not_before_) {
     return;
   }
   const auto reason = Reason();
--- a/kingcuplock/gateway/promotion_duty.h
+++ b/kingcuplock/gateway/promotion_duty.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -54,6 +55,8 @@
 /// Where a duty comes from, and how the platform treats its orders.
 struct DutyOrigin {
   std::int64_t epoch = 0;
+  /// Newest term that is on record, 0 for none.
+  std::int64_t term = 0;
   /// Former holder that did not give the duty up, empty for none.
   std::string predecessor = {};
   /// Longest time that its lease may go on.
@@ -85,14 +88,23 @@
   /// Takes a higher epoch of the same holder.
   auto SetEpoch(std::int64_t epoch) -> void;
 
-  /// The former holder ended its duty.
-  auto NoteSteppedDown() -> void;
+  /// The former holder ended its duty, knowing of `term`.
+  auto NoteSteppedDown(std::int64_t term) -> void;
+
+  /// Grants and orders nothing more: the duty is about to be given up.
+  auto Retire() -> void { retired_ = true; }
 
   /// Returns whether an order is under way, or may still be carried out.
   auto IsOrdering() const -> bool {
     return phase_ == Phase::kOrdering || permit_.HasLateOrder(timers_.Now());
   }
 
+  /// Returns whether a promotion is being prepared or carried out.
+  auto IsPromoting() const -> bool {
+    return phase_ != Phase::kWatching || suspected_since_ ||
+           group_.primary().IsPending();
+  }
+
   /// Grants the use of the primary to an instance; 0 for how long if it can't.
   auto Grant(std::int64_t ask) -> GrantGiven;
 
@@ -119,6 +131,8 @@
   // Without fencing tokens.
   auto AskForTenure() -> void;
   auto LookAround() -> void;
+  auto LookAt(const std::string& member) -> void;
+  auto KnowsPrimary() const -> bool;
   auto WatchSuccessor() -> void;
   auto DemoteReplaced() -> void;
   auto EndLateOrder() -> void;
@@ -135,11 +149,13 @@
   DutyOrigin origin_;
   PromotionPermit<> permit_;
   bool tenured_ = false;
-  /// Members whose reports, or entries for long enough, show that no former
-  /// holder had them promoted.
-  bool looked_around_ = false;
-  bool looking_ = false;
-  std::optional<Time> look_since_;
+  bool retired_ = false;
+  /// Newest term that the former holder knew; nullopt if it could not tell.
+  std::optional<std::int64_t> told_term_;
+  /// Members that no former holder can have had promoted unknown to this one.
+  std::set<std::string> cleared_;
+  std::set<std::string> looked_at_;
+  Time acquired_;
   Time next_step_down_{};
   Time next_look_{};
   Time next_demotion_{};
--- a/kingcuplock/gateway/promotion_grants.cc
+++ b/kingcuplock/gateway/promotion_grants.cc
@@ -33,7 +33,7 @@
   const auto now = timers_.Now();
   const auto& primary = group_.primary();
   const auto well = phase_ == Phase::kWatching && !suspected_since_ &&
-                    looked_around_ && primary.IsUsable() &&
+                    !retired_ && KnowsPrimary() && primary.IsUsable() &&
                     !primary.IsPending() && primary.successor().empty() &&
                     primary.term() > 0 && !Reason();
   if (origin_.fenced || !well || !permit_.MayGrant(now, ports_.lease_until())) {
@@ -45,7 +45,8 @@
   return out;
 }
 
-auto PromotionDuty::NoteSteppedDown() -> void {
+auto PromotionDuty::NoteSteppedDown(std::int64_t term) -> void {
+  told_term_ = term;
   permit_.NoteSteppedDown(timers_.Now());
 }
 
@@ -69,43 +70,53 @@
 }
 
 // A former holder may have had a member promoted that this instance has not
-// heard of.
-auto PromotionDuty::LookAround() -> void {
-  const auto now = timers_.Now();
-  if (looked_around_ || looking_ || now < next_look_) {
-    return;
+// heard of, unless it told how far it went.
+auto PromotionDuty::KnowsPrimary() const -> bool {
+  const auto& primary = group_.primary();
+  if (told_term_ && primary.term() >= *told_term_) {
+    return true;
   }
   const auto names = group_.MemberNames();
-  if (names.empty()) {
+  return !names.empty() &&
+         std::all_of(names.begin(), names.end(), [this](const auto& it) {
+           return cleared_.contains(it);
+         });
+}
+
+auto PromotionDuty::LookAround() -> void {
+  const auto now = timers_.Now();
+  if (KnowsPrimary() || now < next_look_) {
     return;
   }
-  looking_ = true;
-  look_since_ = look_since_.value_or(now);
-  const auto trusted = now - *look_since_ >= kEntryTrusted;
-  const auto missing = std::make_shared<std::size_t>(names.size());
-  const auto unclear = std::make_shared<bool>(false);
-  for (const auto& it : names) {
-    group_.AskStatus(it, 0, guard_.Bind([=, this](const MemberReport* report) {
-      if (report != nullptr) {
-        group_.NoteStatus(it, *report);
-        if (report->paused_term > 0 && phase_ == Phase::kWatching) {
-          // Left by a holder that did not come to its end.
-          group_.Resume(it);
-        }
-      } else {
-        const auto* entry = group_.FindEntry(it);
-        const auto replica = entry != nullptr && !entry->leads;
-        *unclear = *unclear || !(trusted && replica);
-      }
-      if (--*missing == 0) {
-        looking_ = false;
-        looked_around_ = !*unclear;
-        next_look_ = timers_.Now() + kLookPause;
-      }
-    }));
+  next_look_ = now + kLookPause;
+  for (const auto& it : group_.MemberNames()) {
+    const auto* entry = group_.FindEntry(it);
+    if (now - acquired_ >= kEntryTrusted && !entry->leads) {
+      cleared_.insert(it);
+    }
+    if (!looked_at_.contains(it)) {
+      LookAt(it);
+    }
   }
 }
 
+auto PromotionDuty::LookAt(const std::string& member) -> void {
+  group_.AskStatus(member, 0,
+                   guard_.Bind([this, member](const MemberReport* report) {
+                     if (report == nullptr) {
+                       return;
+                     }
+                     looked_at_.insert(member);
+                     cleared_.insert(member);
+                     group_.NoteStatus(member, *report);
+                     if (report->paused_term > 0 &&
+                         phase_ == Phase::kWatching) {
+                       // Left by a holder that did not come to its end.
+                       group_.Resume(member);
+                     }
+                   }));
+}
+
 // Statements wait for a grant, so that none of them finds out.
 auto PromotionDuty::WatchSuccessor() -> void {
   const auto& primary = group_.primary();
--- a/kingcuplock/grants/promotion_permit.h
+++ b/kingcuplock/grants/promotion_permit.h
@@ -6,10 +6,10 @@
 /// once nobody relies on the primary before any more.
 ///
 /// Example:
-///   PromotionPermit<> permit(true, now + ttl + kGrantLife, valid_until);
-///   if (permit.MayGrant(now)) { Send(permit.Give(now)); }
+///   PromotionPermit<> permit(now, now + ttl);
+///   if (permit.MayGrant(now, lease_until)) { Send(permit.Give(now)); }
 ///   permit.NotePaused("m-2", now);
-///   if (permit.OrderableFrom("m-2") <= now) { Order("m-2"); }
+///   if (permit.MayOrder("m-2", now, lease_until)) { Order("m-2"); }
 
 #include <algorithm>
 #include <map>
@@ -31,14 +31,18 @@
 class PromotionPermit {
  public:
   /// `predecessor_ends` is when a former holder that did not give the duty up
-  /// can't act any more, at the latest; a time that has passed if there is
-  /// none.
-  explicit PromotionPermit(Time predecessor_ends)
-      : tenured_from_(Rules::kTenure ? predecessor_ends : Time{}) {}
+  /// can't act any more, at the latest; `now` if there is none. What it granted
+  /// may go on for a grant's validity in any case.
+  PromotionPermit(Time now, Time predecessor_ends)
+      : tenured_from_(Rules::kTenure ? predecessor_ends : now),
+        grants_end_(Rules::kTenure ? predecessor_ends + kGrantLife : now) {}
 
   /// The former holder told at `now` that it orders and grants no more.
   auto NoteSteppedDown(Time now) -> void {
-    tenured_from_ = std::min<Time>(tenured_from_, now + kGrantLife);
+    if (now < tenured_from_) {
+      tenured_from_ = now;
+      grants_end_ = now + kGrantLife;
+    }
   }
 
   /// Returns from when this holder is the only one that acts.
@@ -110,7 +114,7 @@
 
  private:
   Time tenured_from_;
-  Time grants_end_{};
+  Time grants_end_;
   std::map<std::string, Time> paused_;
   std::string late_member_;
   Time late_until_{};
--- a/kingcuplock/ownership/ownership_keeper.cc
+++ b/kingcuplock/ownership/ownership_keeper.cc
@@ -97,7 +97,8 @@
 }
 
 void OwnershipKeeper::EvaluateEntry(const std::string& database, Entry& entry) {
-  const auto is_free = IsVacant(entry) || IsOrphaned(entry);
+  const auto is_free =
+      IsVacant(entry) || IsOrphaned(entry) || IsOfEarlierRun(entry);
   if (entry.owned || !entry.in_manifest || !is_free) {
     candidates_.erase(database);
     entry.vacant_since.reset();
@@ -129,6 +130,14 @@
          entry.record->lease == lease_.lease() && lease_.lease() != 0;
 }
 
+// Names are unique: the run that took it is over, whatever is left of its
+// lease.
+auto OwnershipKeeper::IsOfEarlierRun(const Entry& entry) const -> bool {
+  return entry.record && entry.record->phase != Phase::kReleased &&
+         entry.record->owner == names_.instance && lease_.lease() != 0 &&
+         entry.record->lease != lease_.lease();
+}
+
 auto OwnershipKeeper::IsOwn(const Entry& entry, const OwnerRecord& record) const
     -> bool {
   return record.owner == names_.instance && record.lease == lease_.lease() &&
@@ -155,7 +164,7 @@
 void OwnershipKeeper::VerifyVacancy(const std::string& database) {
   auto& entry = entries_.at(database);
   if (!entry.record || entry.record->phase == Phase::kReleased ||
-      IsOrphaned(entry)) {
+      IsOrphaned(entry) || IsOfEarlierRun(entry)) {
     TakeOver(database);
     return;
   }
@@ -237,7 +246,7 @@
 }
 
 void OwnershipKeeper::RaiseEpoch(const std::string& database,
-                                 WriteCallback callback) {
+                                    WriteCallback callback) {
   const auto change = [](OwnerRecord& record) { record.epoch += 1; };
   ChangeOwned(database, change, std::move(callback));
 }
@@ -256,8 +265,10 @@
 }
 
 void OwnershipKeeper::Release(const std::string& database,
-                              WriteCallback callback) {
-  const auto change = [](OwnerRecord& record) {
+                              WriteCallback callback,
+                              std::int64_t term) {
+  const auto change = [term](OwnerRecord& record) {
+    record.term = std::max(record.term, term);
     // A promotion that is under way is left for the successor to resume.
     if (record.phase == Phase::kServing) {
       record.phase = Phase::kReleased;
--- a/kingcuplock/ownership/ownership_keeper.h
+++ b/kingcuplock/ownership/ownership_keeper.h
@@ -84,8 +84,11 @@
   /// its record is released, ahead of the order of preference.
   void AcceptHandOver(const std::string& database);
 
-  /// Gives an owned database up so that a successor takes it at once.
-  void Release(const std::string& database, WriteCallback callback);
+  /// Gives an owned database up so that a successor takes it at once; `term` is
+  /// the newest known, 0 for none.
+  void Release(const std::string& database,
+               WriteCallback callback,
+               std::int64_t term = 0);
 
   /// Ends the present ownership of a database whose fence was found raised to
   /// `seen_epoch` (0 for unknown), and takes it over again past that epoch
@@ -154,6 +157,7 @@
   void EvaluateEntry(const std::string& database, Entry& entry);
   auto IsVacant(const Entry& entry) const -> bool;
   auto IsOrphaned(const Entry& entry) const -> bool;
+  auto IsOfEarlierRun(const Entry& entry) const -> bool;
   auto IsOwn(const Entry& entry, const OwnerRecord& record) const -> bool;
   auto MayTake(const Entry& entry) const -> bool;
   auto TakeoverDelay(const std::string& database, const Entry& entry) const
--- a/kingcuplock/schema/messages.cc
+++ b/kingcuplock/schema/messages.cc
@@ -584,6 +584,7 @@
   internal::WriteOptional(out, "member", value.member, kDefaults.member);
   internal::WriteOptional(out, "term", value.term, kDefaults.term);
   internal::WriteOptional(out, "lasts_ms", value.lasts_ms, kDefaults.lasts_ms);
+  internal::WriteOptional(out, "shared", value.shared, kDefaults.shared);
 }
 
 void from_json(const nlohmann::json& in, GrantGiven& value) {
@@ -593,6 +594,7 @@
   internal::ReadOptional(in, "member", value.member);
   internal::ReadOptional(in, "term", value.term);
   internal::ReadOptional(in, "lasts_ms", value.lasts_ms);
+  internal::ReadOptional(in, "shared", value.shared);
 }
 
 void to_json(nlohmann::json& out, const StepDown& value) {
@@ -613,9 +615,11 @@
 void to_json(nlohmann::json& out, const SteppedDown& value) {
   out = nlohmann::json::object();
   out["type"] = "stepped_down";
+  static const SteppedDown kDefaults;
   out["instance"] = value.instance;
   out["group"] = value.group;
   out["epoch"] = value.epoch;
+  internal::WriteOptional(out, "term", value.term, kDefaults.term);
 }
 
 void from_json(const nlohmann::json& in, SteppedDown& value) {
@@ -623,6 +627,7 @@
   internal::ReadRequired(in, "instance", value.instance);
   internal::ReadRequired(in, "group", value.group);
   internal::ReadRequired(in, "epoch", value.epoch);
+  internal::ReadOptional(in, "term", value.term);
 }
 
 void to_json(nlohmann::json& out, const OwnershipHint& value) {
--- a/kingcuplock/schema/messages.h
+++ b/kingcuplock/schema/messages.h
@@ -618,6 +618,8 @@
   /// Validity in ms, counted from when the request was sent; 0 if nothing is
   /// granted.
   std::int64_t lasts_ms{};
+  /// Whether the sender passes on what it was granted or heard itself.
+  bool shared{};
 
   auto operator==(const GrantGiven&) const -> bool = default;
 };
@@ -657,6 +659,8 @@
   std::string group{};
   /// Epoch of the new holder.
   std::int64_t epoch{};
+  /// Newest term that the sender knows.
+  std::int64_t term{};
 
   auto operator==(const SteppedDown&) const -> bool = default;
 };
