--- a/kingcuplock/gateway/gateway.h
+++ b/kingcuplock/gateway/gateway.h
@@ -130,6 +130,7 @@
       -> void;
   auto OnDutyLost(const std::string& group) -> void;
   auto HelperOf(const std::string& group) -> std::string;
+  auto PeerNearPrimary(const std::string& group) const -> std::string;
   auto AskGrant(const std::string& group, std::int64_t ask) -> bool;
   auto OnGrantWanted(ConnectionId source, const GrantWanted& wanted) -> void;
   auto OnStepDown(ConnectionId source, const StepDown& told) -> void;
--- a/kingcuplock/gateway/gateway_duty.cc
+++ b/kingcuplock/gateway/gateway_duty.cc
@@ -87,9 +87,37 @@
   if (const auto helper = HelperOf(group); !helper.empty()) {
     sent = peers_.Send(helper, wanted) || sent;
   }
+  if (const auto near = PeerNearPrimary(group); !near.empty()) {
+    sent = peers_.Send(near, wanted) || sent;
+  }
   return sent;
 }
 
+// Returns the peer that heard the primary last, if this instance is cut off
+// from it.
+auto Gateway::PeerNearPrimary(const std::string& group) const -> std::string {
+  const auto found = groups_.find(group);
+  if (found == groups_.end() || !found->second->IsPrimaryLost()) {
+    return {};
+  }
+  std::string nearest;
+  std::optional<Duration> least;
+  for (const auto& [peer, by_group] : reports_) {
+    const auto heard = by_group.find(group);
+    if (heard == by_group.end() ||
+        heard->second.report.reach != Reach::kReached) {
+      continue;
+    }
+    const auto age = timers_.Now() - heard->second.arrived +
+                     Milliseconds(heard->second.report.heard_ms);
+    if (!least || age < *least) {
+      least = age;
+      nearest = peer;
+    }
+  }
+  return nearest;
+}
+
 // While the holder grants nothing, one instance asks the members for all.
 // Returns it, or nothing while the holder does or if it is this instance.
 auto Gateway::HelperOf(const std::string& group) -> std::string {
@@ -117,23 +145,37 @@
   const auto duty = duties_.find(wanted.group);
   auto* group = FindGroup(wanted.group);
   if (duty != duties_.end()) {
-    const auto given = duty->second->Grant(wanted.ask);
+    auto given = duty->second->Grant(wanted.ask);
+    if (group != nullptr) {
+      group->AddFloor(given);
+    }
     if (given.lasts_ms > 0 || duty->second->IsPromoting()) {
       shell_.Send(source, given);
       return;
     }
   }
-  if (group == nullptr) {
-    shell_.Send(source, GrantGiven{wanted.group, wanted.ask});
+  GrantGiven out;
+  out.group = wanted.group;
+  out.ask = wanted.ask;
+  out.shared = true;
+  if (group == nullptr || settings_.promotions_fenced) {
+    if (group != nullptr) {
+      group->AddFloor(out);
+    }
+    shell_.Send(source, out);
     return;
   }
-  group->ShareGrant([this, source, wanted](const LeadGrant& grant) {
-    const auto lasts = std::chrono::duration_cast<Milliseconds>(
-        grant.until - timers_.Now());
-    shell_.Send(source, GrantGiven{wanted.group, wanted.ask, grant.member,
-                                   grant.term,
-                                   std::max<std::int64_t>(lasts.count(), 0),
-                                   true});
+  group->ShareGrant([this, source, out](const LeadGrant& grant) {
+    auto given = out;
+    given.member = grant.member;
+    given.term = grant.term;
+    const auto lasts =
+        std::chrono::duration_cast<Milliseconds>(grant.until - timers_.Now());
+    given.lasts_ms = std::max<std::int64_t>(lasts.count(), 0);
+    if (auto* it = FindGroup(given.group)) {
+      it->AddFloor(given);
+    }
+    shell_.Send(source, given);
   });
 }
 
--- a/kingcuplock/gateway/gateway_schedules_test.cc
+++ b/kingcuplock/gateway/gateway_schedules_test.cc
@@ -18,11 +18,13 @@
 
 class Schedule {
  public:
-  explicit Schedule(std::uint64_t seed)
+  explicit Schedule(std::uint64_t seed, bool fenced = true)
       : random_(seed),
+        fenced_(fenced),
         world_({.seed = seed,
                 .gateways = 3,
-                .group = {.apply_lag = Milliseconds(Pick(5, 300))}}) {}
+                .group = {.apply_lag = Milliseconds(Pick(5, 300)),
+                          .fenced = fenced}}) {}
 
   auto Run() -> std::vector<std::string> {
     world_.RunFor(Milliseconds(1200));
@@ -103,7 +105,7 @@
   auto Fault() -> void {
     const auto member = fmt::format("m{}", Pick(1, 3));
     const auto gateway = static_cast<std::size_t>(Pick(0, 2));
-    switch (Pick(0, 8)) {
+    switch (Pick(0, fenced_ ? 8 : 14)) {
       case 0:
         if (world_.group().IsUp("m1") && world_.group().IsUp("m2") &&
             world_.group().IsUp("m3")) {
@@ -137,6 +139,28 @@
                                                 Milliseconds(Pick(200, 3000)))
                                           : std::nullopt);
         break;
+      case 9:
+        world_.Freeze(gateway, Pick(0, 2) == 0);
+        break;
+      case 10:
+        world_.CutPeers(gateway, (gateway + 1) % 3, Pick(0, 1) == 0);
+        break;
+      case 11:
+        if (Pick(0, 1) == 0) {
+          world_.RevokeLease(gateway);
+        } else {
+          world_.ServeAgain(gateway);
+        }
+        break;
+      case 12:
+        world_.LoseDemotions(Pick(0, 1) == 0);
+        break;
+      case 13:
+        world_.group().SetApart(member, Pick(0, 1) == 0);
+        break;
+      case 14:
+        world_.FreezeAtSend(gateway, Milliseconds(Pick(50, 3000)));
+        break;
       default:
         Restart(gateway);
         break;
@@ -153,17 +177,18 @@
   }
 
   std::mt19937_64 random_;
+  bool fenced_;
   GatewayFixture world_;
   std::vector<Talker> clients_;
   int last_id_ = 0;
 };
 
-TEST_CASE("Promises hold under random faults") {
+auto RunSchedules(bool fenced) -> void {
   const auto* text = std::getenv("KINGCUPLOCK_SCHEDULES");
   const auto seeds = text == nullptr ? kSeeds : std::stoi(text);
   std::size_t ok = 0;
   for (auto seed = 1; seed <= seeds; ++seed) {
-    Schedule schedule(static_cast<std::uint64_t>(seed));
+    Schedule schedule(static_cast<std::uint64_t>(seed), fenced);
     const auto broken = schedule.Run();
     CHECK_MESSAGE(broken.empty(), "seed " << seed << ": "
                                           << (broken.empty() ? "" : broken[0])
@@ -173,5 +198,13 @@
   CHECK(ok > static_cast<std::size_t>(seeds) * 40);
 }
 
+TEST_CASE("Promises hold under random faults") {
+  RunSchedules(true);
+}
+
+TEST_CASE("Promises hold under random faults where nothing is fenced") {
+  RunSchedules(false);
+}
+
 }  // namespace
 }  // namespace kingcuplock
--- a/kingcuplock/gateway/group.cc
+++ b/kingcuplock/gateway/group.cc
@@ -42,6 +42,10 @@
 /// another member as well.
 constexpr int kHedgeDivisor = 2;
 
+/// Time in ms for peers to tell a floor that this instance can't learn from the
+/// primary: some round trips, twice.
+constexpr Milliseconds kFloorPatience{150};
+
 auto Contains(const std::vector<std::string>& names, std::string_view name)
     -> bool {
   return std::find(names.begin(), names.end(), name) != names.end();
@@ -319,10 +323,21 @@
   } else if (PickFloor(task)) {
     DispatchRead(task);
   } else if (const auto back = ExpectedReturn();
-             back && *back > task->offer_by) {
+             back && *back > task->offer_by && !grants_.IsAsking()) {
     Refuse(task, "no primary tells how fresh replicas are");
   } else {
     Enqueue(read_queue_, task);
+    timers_.After(kFloorPatience,
+                  guard_.Bind([this, task] { RefuseWithoutFloor(task); }));
+  }
+}
+
+// The peers that were asked know no floor either.
+auto Group::RefuseWithoutFloor(const TaskPtr& task) -> void {
+  const auto back = ExpectedReturn();
+  if (!task->done && task->running == 0 && back && *back > task->offer_by &&
+      !PickFloor(task)) {
+    Refuse(task, "no primary tells how fresh replicas are");
   }
 }
 
--- a/kingcuplock/gateway/group.h
+++ b/kingcuplock/gateway/group.h
@@ -129,10 +129,13 @@
   /// be sent now, and then asks for a grant.
   auto LeadsUntil(const std::string& member) -> std::optional<Time>;
 
-  /// Calls back with the grant in force, or once there is one; with an empty one
-  /// if none comes soon.
+  /// Calls back with the grant in force, or once there is one; with an empty
+  /// one if none comes soon.
   auto ShareGrant(std::function<void(const LeadGrant&)> callback) -> void;
 
+  /// Adds what this instance knows of the primary's log to an answer.
+  auto AddFloor(GrantGiven& given) -> void;
+
   /// Returns whether the duty's holder gave no grant when last asked.
   auto LacksHolder() const -> bool { return lacks_holder_; }
 
@@ -194,6 +197,7 @@
   auto DispatchRead(const TaskPtr& task) -> void;
   auto StartRead(const TaskPtr& task, std::span<const std::string> order)
       -> bool;
+  auto RefuseWithoutFloor(const TaskPtr& task) -> void;
   auto PickFloor(const TaskPtr& task) -> bool;
   auto ReadOrder(const Task& task) const -> std::vector<std::string>;
   auto TryStart(const TaskPtr& task, Member& member) -> bool;
@@ -248,6 +252,9 @@
     std::map<std::string, std::optional<MemberReport>> reports;
   };
   auto WantGrant() -> void;
+  auto WantFloor() -> void;
+  auto HedgeSample(Time sent) -> void;
+  auto TakeFloor(const GrantGiven& given) -> void;
   auto AddWaiter(const std::string& member,
                  Duration patience,
                  std::function<void(std::optional<Time>)> callback) -> void;
@@ -287,6 +294,8 @@
   GrantUser grants_;
   std::map<std::uint64_t, LeadWaiter> waiters_;
   std::uint64_t last_waiter_ = 0;
+  /// When the peers may be asked for a floor again.
+  Time next_floor_ask_{};
   /// Request for which members are being asked, 0 for none.
   std::int64_t gathering_ = 0;
   /// Whether the holder did not answer when last asked, or granted nothing.
--- a/kingcuplock/gateway/group_grants.cc
+++ b/kingcuplock/gateway/group_grants.cc
@@ -19,6 +19,9 @@
 constexpr Milliseconds kSharePatience{60};
 /// Pause in ms before a grant is asked for again after nobody gave one.
 constexpr Milliseconds kAskPause{50};
+/// Age in ms above which a sample is renewed for a peer that asks for it: well
+/// below the ages that reads accept.
+constexpr Milliseconds kFreshSample{300};
 /// Part of a grant's validity after which one in use is renewed, in percent.
 constexpr int kRenewPercent = 60;
 
@@ -41,10 +44,10 @@
 }
 
 auto Group::ShareGrant(std::function<void(const LeadGrant&)> callback) -> void {
-  const auto answer = [this, callback = std::move(callback)](
-                          std::optional<Time> until) {
-    callback(until ? grants_.grant() : LeadGrant{});
-  };
+  const auto answer =
+      [this, callback = std::move(callback)](std::optional<Time> until) {
+        callback(until ? grants_.grant() : LeadGrant{});
+      };
   if (grants_.Covers(grants_.grant().member, timers_.Now())) {
     grants_.NoteUse();
     answer(grants_.grant().until);
@@ -83,7 +86,13 @@
   if (!ask) {
     return;
   }
-  if (!ports_.ask_grant(*ask)) {
+  const auto sent = ports_.ask_grant(*ask);
+  if (site_.promotions_fenced) {
+    // Only a floor was asked for.
+    timers_.After(kAskPause, guard_.Bind([this] { grants_.EndAsk(); }));
+    return;
+  }
+  if (!sent) {
     GatherEvidence(*ask);
     return;
   }
@@ -97,9 +106,49 @@
   }));
 }
 
+auto Group::AddFloor(GrantGiven& given) -> void {
+  const auto newest = ages_.Newest();
+  if (!newest || timers_.Now() - newest->first > kFreshSample) {
+    // For the next request: the peer asks again while reads wait.
+    AskForSample();
+  }
+  if (newest) {
+    given.floor_term = newest->second.term;
+    given.floor_position = newest->second.position;
+    given.floor_age_ms =
+        std::chrono::ceil<Milliseconds>(timers_.Now() - newest->first).count();
+  }
+}
+
+// The sample was taken no earlier than its age before the request was sent.
+auto Group::TakeFloor(const GrantGiven& given) -> void {
+  const auto sent = grants_.SentAt(given.ask);
+  if (!sent) {
+    return;
+  }
+  const auto taken = *sent - Milliseconds(given.floor_age_ms);
+  const auto newest = ages_.Newest();
+  if (given.floor_term > 0 && (!newest || newest->first < taken)) {
+    ages_.AddSample(taken, {given.floor_term, given.floor_position});
+    timers_.After(Duration::zero(), guard_.Bind([this] { Pump(); }));
+  }
+  if (read_queue_.Size() > 0) {
+    timers_.After(kAskPause, guard_.Bind([this] { Pump(); }));
+  }
+}
+
+// Answers may come at once, and reads that wait ask again.
+auto Group::WantFloor() -> void {
+  if (timers_.Now() >= next_floor_ask_) {
+    next_floor_ask_ = timers_.Now() + kAskPause;
+    WantGrant();
+  }
+}
+
 auto Group::OnGrantGiven(const GrantGiven& given) -> void {
+  TakeFloor(given);
   const auto asked = grants_.AskedAt(given.ask);
-  if (!asked) {
+  if (!asked || site_.promotions_fenced) {
     return;
   }
   if (given.lasts_ms > 0) {
--- a/kingcuplock/gateway/group_outcome.cc
+++ b/kingcuplock/gateway/group_outcome.cc
@@ -25,6 +25,9 @@
 constexpr Milliseconds kLocateTime{400};
 /// Pause in ms between searches for the primary.
 constexpr Milliseconds kLocatePause{150};
+/// Time in ms for the primary's answer to a question for a sample before the
+/// peers are asked as well.
+constexpr Milliseconds kSampleHedge{40};
 /// Pause in ms before the primary is asked again for a sample.
 constexpr Milliseconds kSamplePause{25};
 /// Time in ms for a member's status.
@@ -419,12 +422,18 @@
 
 // One question stands for all reads that wait for a floor.
 auto Group::AskForSample() -> void {
+  const auto reach = ReachOf(primary_.member());
+  if (reach == Reach::kSilent || reach == Reach::kRefused) {
+    // Another instance may reach it.
+    WantFloor();
+  }
   if (sampling_ || !primary_.IsUsable()) {
     return;
   }
   sampling_ = true;
   const auto member = primary_.member();
   const auto sent = timers_.Now();
+  HedgeSample(sent);
   AskStatus(member, 0,
             guard_.Bind([this, member, sent](const MemberReport* it) {
               const auto led = it != nullptr && it->is_primary;
@@ -439,6 +448,16 @@
             }));
 }
 
+// Asks the peers while the primary's answer is missing and reads wait.
+auto Group::HedgeSample(Time sent) -> void {
+  timers_.After(kSampleHedge, guard_.Bind([this, sent] {
+    if (sampling_ && !ages_.FloorSince(sent) && read_queue_.Size() > 0) {
+      WantFloor();
+      HedgeSample(sent);
+    }
+  }));
+}
+
 auto Group::Locate() -> void {
   if (std::exchange(locating_, true)) {
     return;
--- a/kingcuplock/gateway/promotion_duty.cc
+++ b/kingcuplock/gateway/promotion_duty.cc
@@ -81,8 +81,7 @@
     DemoteReplaced();
     EndLateOrder();
   }
-  if (retired_ || phase_ != Phase::kWatching ||
-      timers_.Now() < not_before_) {
+  if (retired_ || phase_ != Phase::kWatching || timers_.Now() < not_before_) {
     return;
   }
   const auto reason = Reason();
@@ -149,6 +148,9 @@
   if (!vouched && !isolated) {
     return true;
   }
+  if (vouched) {
+    vouched_at_ = timers_.Now();
+  }
   log_.Log(
       Event::kPromotionWeighed,
       {{"group", group_.config().name},
@@ -171,10 +173,8 @@
   const auto is_primary =
       group_.primary().IsUsable() && member == group_.primary().member();
   // While an order may still be carried out, nobody else is ordered to lead.
-  const auto& late = permit_.late_member();
   if (!origin_.fenced && permit_.HasLateOrder(timers_.Now()) &&
-      late != member && group_.FindEntry(late) != nullptr &&
-      group_.ReachOf(late) != Reach::kRefused) {
+      permit_.late_member() != member) {
     return false;
   }
   return entry != nullptr && (!entry->leaving || last_resort_) && !is_primary &&
--- a/kingcuplock/gateway/promotion_duty.h
+++ b/kingcuplock/gateway/promotion_duty.h
@@ -150,6 +150,8 @@
   PromotionPermit<> permit_;
   bool tenured_ = false;
   bool retired_ = false;
+  /// When a peer last vouched for a primary that this instance does not reach.
+  std::optional<Time> vouched_at_;
   /// Newest term that the former holder knew; nullopt if it could not tell.
   std::optional<std::int64_t> told_term_;
   /// Members that no former holder can have had promoted unknown to this one.
--- a/kingcuplock/gateway/promotion_grants.cc
+++ b/kingcuplock/gateway/promotion_grants.cc
@@ -11,6 +11,9 @@
 
 /// Pause in ms between requests to a former holder to step down.
 constexpr Milliseconds kStepDownPause{100};
+/// Time in ms for which a peer's word for the primary counts: the pause between
+/// two doubts, and the peers' answers.
+constexpr Milliseconds kVouchedFor{2 * PromotionDuty::kPeerVouches};
 /// Pause in ms between looks at the members after a change of holder.
 constexpr Milliseconds kLookPause{100};
 /// Time in ms after which a member that can't be asked is taken for a replica
@@ -32,10 +35,14 @@
   out.ask = ask;
   const auto now = timers_.Now();
   const auto& primary = group_.primary();
-  const auto well = phase_ == Phase::kWatching && !suspected_since_ &&
+  // A promotion waits for what is granted, so a doubt alone is no reason to
+  // refuse while others hear the primary.
+  const auto vouched = vouched_at_ && now - *vouched_at_ < kVouchedFor;
+  const auto well = phase_ == Phase::kWatching &&
+                    (vouched || (!suspected_since_ && !Reason())) &&
                     !retired_ && KnowsPrimary() && primary.IsUsable() &&
                     !primary.IsPending() && primary.successor().empty() &&
-                    primary.term() > 0 && !Reason();
+                    primary.term() > 0;
   if (origin_.fenced || !well || !permit_.MayGrant(now, ports_.lease_until())) {
     return out;
   }
@@ -78,9 +85,8 @@
   }
   const auto names = group_.MemberNames();
   return !names.empty() &&
-         std::all_of(names.begin(), names.end(), [this](const auto& it) {
-           return cleared_.contains(it);
-         });
+         std::all_of(names.begin(), names.end(),
+                     [this](const auto& it) { return cleared_.contains(it); });
 }
 
 auto PromotionDuty::LookAround() -> void {
@@ -101,20 +107,19 @@
 }
 
 auto PromotionDuty::LookAt(const std::string& member) -> void {
-  group_.AskStatus(member, 0,
-                   guard_.Bind([this, member](const MemberReport* report) {
-                     if (report == nullptr) {
-                       return;
-                     }
-                     looked_at_.insert(member);
-                     cleared_.insert(member);
-                     group_.NoteStatus(member, *report);
-                     if (report->paused_term > 0 &&
-                         phase_ == Phase::kWatching) {
-                       // Left by a holder that did not come to its end.
-                       group_.Resume(member);
-                     }
-                   }));
+  group_.AskStatus(
+      member, 0, guard_.Bind([this, member](const MemberReport* report) {
+        if (report == nullptr) {
+          return;
+        }
+        looked_at_.insert(member);
+        cleared_.insert(member);
+        group_.NoteStatus(member, *report);
+        if (report->paused_term > 0 && phase_ == Phase::kWatching) {
+          // Left by a holder that did not come to its end.
+          group_.Resume(member);
+        }
+      }));
 }
 
 // Statements wait for a grant, so that none of them finds out.
--- a/kingcuplock/grants/grant_user.h
+++ b/kingcuplock/grants/grant_user.h
@@ -53,6 +53,7 @@
       return std::nullopt;
     }
     asked_ = now;
+    sent_ = now;
     used_ = false;
     return ++ask_;
   }
@@ -62,6 +63,15 @@
     return ask == ask_ ? asked_ : std::nullopt;
   }
 
+  /// Returns when the newest request was sent if `ask` is it, also once it has
+  /// ended.
+  auto SentAt(std::int64_t ask) const -> std::optional<Time> {
+    return ask == ask_ ? std::optional(sent_) : std::nullopt;
+  }
+
+  /// Returns whether a request is under way.
+  auto IsAsking() const -> bool { return asked_.has_value(); }
+
   /// Ends the request under way.
   auto EndAsk() -> void { asked_.reset(); }
 
@@ -113,6 +123,7 @@
  private:
   LeadGrant grant_;
   std::optional<Time> asked_;
+  Time sent_{};
   std::int64_t ask_ = 0;
   bool used_ = false;
   std::deque<LeadSample> samples_;
--- /dev/null
+++ b/kingcuplock/grants/grants_test.cc
@@ -0,0 +1,171 @@
+#include <optional>
+
+#include <doctest/doctest.h>
+
+#include "kingcuplock/grants/grant_user.h"
+#include "kingcuplock/grants/lead_evidence.h"
+#include "kingcuplock/grants/lead_grant.h"
+#include "kingcuplock/grants/promotion_permit.h"
+
+namespace kingcuplock {
+namespace {
+
+constexpr Time kNow{Milliseconds(10'000)};
+constexpr Milliseconds kLease{3000};
+
+auto Replica(std::int64_t term, std::int64_t paused = 0) -> MemberReport {
+  MemberReport out;
+  out.term = term;
+  out.paused_term = paused;
+  return out;
+}
+
+auto Primary(std::int64_t term) -> MemberReport {
+  MemberReport out;
+  out.is_primary = true;
+  out.term = term;
+  return out;
+}
+
+TEST_CASE("A grant counts from when it was asked for") {
+  const auto grant = GrantFromHolder<>("m1", 3, kNow, kNow + Milliseconds(400),
+                                       Milliseconds(500));
+  CHECK(grant.Covers("m1", kNow + Milliseconds(400)));
+  CHECK_FALSE(grant.Covers("m1", kNow + Milliseconds(500)));
+  CHECK_FALSE(grant.Covers("m2", kNow));
+}
+
+TEST_CASE("A statement's way to the member is taken off a grant") {
+  const LeadGrant grant{"m1", 3, kNow + kWayToMember};
+  CHECK_FALSE(grant.Covers("m1", kNow));
+}
+
+TEST_CASE("Evidence needs a report of every other member") {
+  LeadEvidence<> evidence("m1", 3, {"m2", "m3"}, kNow);
+  const auto report = Replica(3);
+  evidence.Note("m2", &report);
+  CHECK_FALSE(evidence.IsComplete());
+  evidence.Note("m3", nullptr);
+  CHECK(evidence.IsComplete());
+  CHECK_FALSE(evidence.Holds());
+}
+
+TEST_CASE("A primary that is alone in the store has no evidence") {
+  CHECK_FALSE(LeadEvidence<>("m1", 3, {}, kNow).Holds());
+}
+
+TEST_CASE("A member that leads, knows a newer term or is paused refutes") {
+  for (const auto& other :
+       {Primary(3), Primary(4), Replica(4), Replica(3, 4)}) {
+    LeadEvidence<> evidence("m1", 3, {"m2"}, kNow);
+    evidence.Note("m2", &other);
+    CHECK_FALSE(evidence.Holds());
+  }
+}
+
+TEST_CASE("A replaced primary that goes on does not refute its successor") {
+  LeadEvidence<> evidence("m2", 4, {"m1", "m3"}, kNow);
+  const auto stale = Primary(3);
+  const auto replica = Replica(4, 4);
+  evidence.Note("m1", &stale);
+  evidence.Note("m3", &replica);
+  REQUIRE(evidence.Holds());
+  CHECK(evidence.Grant().Covers("m2", kNow));
+  CHECK_FALSE(evidence.Grant().Covers("m2", kNow + kEvidenceLife));
+}
+
+TEST_CASE("A new holder waits for its predecessor's lease, or its word") {
+  PromotionPermit<> silent(kNow, kNow + kLease);
+  const auto forever = Time::max();
+  CHECK_FALSE(silent.MayGrant(kNow + kLease - Milliseconds(1), forever));
+  CHECK(silent.MayGrant(kNow + kLease, forever));
+
+  PromotionPermit<> told(kNow, kNow + kLease);
+  told.NoteSteppedDown(kNow + Milliseconds(10));
+  CHECK(told.MayGrant(kNow + Milliseconds(10), forever));
+  told.NotePaused("m2", kNow);
+  // What the predecessor granted may go on.
+  CHECK(told.OrderableFrom("m2") ==
+        kNow + Milliseconds(10) + kGrantLife - kLeastPromotionTime);
+}
+
+TEST_CASE("An order waits for the grants given and for its member's reports") {
+  PromotionPermit<> permit(kNow, kNow);
+  const auto later = kNow + Milliseconds(5000);
+  CHECK(permit.OrderableFrom("m2") == Time::max());
+  permit.NotePaused("m2", later);
+  CHECK(permit.OrderableFrom("m2") ==
+        later + kEvidenceLife - kLeastPromotionTime);
+  permit.Give(later + Milliseconds(100));
+  CHECK(permit.OrderableFrom("m2") ==
+        later + Milliseconds(100) + kGrantLife - kLeastPromotionTime);
+  permit.NoteResumed();
+  CHECK(permit.OrderableFrom("m2") == Time::max());
+}
+
+TEST_CASE("Nothing is granted or ordered under a lease that may have lapsed") {
+  PromotionPermit<> permit(kNow, kNow);
+  const auto late = kNow + Milliseconds(5000);
+  permit.NotePaused("m2", kNow);
+  CHECK(permit.MayOrder("m2", late, late + Milliseconds(1)));
+  CHECK_FALSE(permit.MayOrder("m2", late, late));
+  CHECK_FALSE(permit.MayGrant(late, late));
+}
+
+TEST_CASE("While an order may be carried out late, nobody else is ordered") {
+  PromotionPermit<> permit(kNow, kNow);
+  const auto forever = Time::max();
+  const auto later = kNow + Milliseconds(1000);
+  permit.NotePaused("m2", kNow);
+  permit.NotePaused("m3", kNow);
+  permit.NoteLateOrder("m2", later);
+  CHECK(permit.MayOrder("m2", later, forever));
+  CHECK_FALSE(permit.MayOrder("m3", later, forever));
+  CHECK_FALSE(permit.MayGrant(later, forever));
+  CHECK(permit.MayOrder("m3", later + kLateOrder, forever));
+  permit.ForgetLateOrder();
+  CHECK(permit.MayGrant(later, forever));
+}
+
+TEST_CASE("A position counts once a grant proves that its member led") {
+  GrantUser user;
+  user.KeepSample({"m1", kNow, {3, 7}});
+  user.KeepSample({"m2", kNow, {3, 9}});
+  CHECK(user.TakeProved(kNow).empty());
+  user.Take({"m1", 3, kNow + kGrantLife});
+  const auto proved = user.TakeProved(kNow + Milliseconds(10));
+  REQUIRE(proved.size() == 1);
+  CHECK(proved.front().place == LogPlace{3, 7});
+  CHECK(user.TakeProved(kNow + Milliseconds(20)).empty());
+}
+
+TEST_CASE("Samples that wait for a grant are bounded") {
+  GrantUser user;
+  for (std::size_t n = 0; n < 2 * GrantUser::kMostSamples; ++n) {
+    user.KeepSample({"m1", kNow, {3, static_cast<std::int64_t>(n)}});
+  }
+  user.Take({"m1", 3, kNow + kGrantLife});
+  CHECK(user.TakeProved(kNow).size() == GrantUser::kMostSamples);
+}
+
+TEST_CASE("An answer to an earlier request gives nothing") {
+  GrantUser user;
+  const auto first = user.BeginAsk(kNow);
+  REQUIRE(first);
+  CHECK_FALSE(user.BeginAsk(kNow));
+  user.EndAsk();
+  const auto second = user.BeginAsk(kNow + Milliseconds(100));
+  REQUIRE(second);
+  CHECK_FALSE(user.AskedAt(*first));
+  CHECK(user.AskedAt(*second) == kNow + Milliseconds(100));
+}
+
+TEST_CASE("A grant for an earlier term is not taken") {
+  GrantUser user;
+  user.Take({"m2", 4, kNow + Milliseconds(10)});
+  user.Take({"m1", 3, kNow + kGrantLife});
+  CHECK_FALSE(user.Covers("m1", kNow));
+}
+
+}  // namespace
+}  // namespace kingcuplock
--- a/kingcuplock/ownership/ownership_keeper.cc
+++ b/kingcuplock/ownership/ownership_keeper.cc
@@ -246,7 +246,7 @@
 }
 
 void OwnershipKeeper::RaiseEpoch(const std::string& database,
-                                    WriteCallback callback) {
+                                 WriteCallback callback) {
   const auto change = [](OwnerRecord& record) { record.epoch += 1; };
   ChangeOwned(database, change, std::move(callback));
 }
--- a/kingcuplock/routing/age_tracker.h
+++ b/kingcuplock/routing/age_tracker.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <utility>
 
 #include "kingcuplock/base/timer_service.h"
 #include "kingcuplock/session/log_place.h"
@@ -32,6 +33,13 @@
   /// one.
   auto FloorSince(Time not_before) const -> std::optional<LogPlace>;
 
+  /// Returns the newest sample's position and when it was asked for.
+  auto Newest() const -> std::optional<std::pair<Time, LogPlace>> {
+    return samples_.empty() ? std::nullopt
+                            : std::optional(std::pair(samples_.back().sent,
+                                                      samples_.back().place));
+  }
+
   /// Forgets all samples, as after a change of primary.
   void Clear() { samples_.clear(); }
 
--- a/kingcuplock/schema/messages.cc
+++ b/kingcuplock/schema/messages.cc
@@ -585,6 +585,12 @@
   internal::WriteOptional(out, "term", value.term, kDefaults.term);
   internal::WriteOptional(out, "lasts_ms", value.lasts_ms, kDefaults.lasts_ms);
   internal::WriteOptional(out, "shared", value.shared, kDefaults.shared);
+  internal::WriteOptional(out, "floor_term", value.floor_term,
+                          kDefaults.floor_term);
+  internal::WriteOptional(out, "floor_position", value.floor_position,
+                          kDefaults.floor_position);
+  internal::WriteOptional(out, "floor_age_ms", value.floor_age_ms,
+                          kDefaults.floor_age_ms);
 }
 
 void from_json(const nlohmann::json& in, GrantGiven& value) {
@@ -595,6 +601,9 @@
   internal::ReadOptional(in, "term", value.term);
   internal::ReadOptional(in, "lasts_ms", value.lasts_ms);
   internal::ReadOptional(in, "shared", value.shared);
+  internal::ReadOptional(in, "floor_term", value.floor_term);
+  internal::ReadOptional(in, "floor_position", value.floor_position);
+  internal::ReadOptional(in, "floor_age_ms", value.floor_age_ms);
 }
 
 void to_json(nlohmann::json& out, const StepDown& value) {
--- a/kingcuplock/schema/messages.h
+++ b/kingcuplock/schema/messages.h
@@ -620,6 +620,13 @@
   std::int64_t lasts_ms{};
   /// Whether the sender passes on what it was granted or heard itself.
   bool shared{};
+  /// Position of the primary's log at the sender's newest sample: its term, 0
+  /// for none.
+  std::int64_t floor_term{};
+  /// Its number within the log.
+  std::int64_t floor_position{};
+  /// Time in ms since that sample was asked for.
+  std::int64_t floor_age_ms{};
 
   auto operator==(const GrantGiven&) const -> bool = default;
 };
--- a/testing/gateway_fixture.cc
+++ b/testing/gateway_fixture.cc
@@ -65,7 +65,7 @@
     store_.Expire(now.time_since_epoch() / Milliseconds(1));
     PushStoreEvents();
     for (std::size_t n = 0; n < nodes_.size(); ++n) {
-      if (nodes_[n]->up) {
+      if (nodes_[n]->up && !nodes_[n]->frozen) {
         nodes_[n]->timers->AdvanceTo(now);
         HandOut(n);
       }
@@ -81,13 +81,77 @@
   timers_.After(delay, [this, node, life, work = std::move(work)] {
     auto& it = *nodes_[node];
     if (it.up && it.life == life) {
-      it.timers->AdvanceTo(timers_.Now());
-      work();
-      HandOut(node);
+      Enter(node, work);
     }
   });
 }
 
+auto GatewayFixture::Enter(std::size_t node, std::function<void()> work)
+    -> void {
+  auto& it = *nodes_[node];
+  if (it.frozen) {
+    it.waiting.push_back(std::move(work));
+    return;
+  }
+  it.timers->AdvanceTo(timers_.Now());
+  work();
+  HandOut(node);
+}
+
+auto GatewayFixture::Freeze(std::size_t gateway, bool frozen) -> void {
+  auto& it = *nodes_.at(gateway);
+  it.frozen = frozen;
+  if (frozen) {
+    return;
+  }
+  for (auto& work : std::exchange(it.waiting, {})) {
+    if (it.up) {
+      Enter(gateway, std::move(work));
+    }
+  }
+}
+
+auto GatewayFixture::FreezeAtSend(std::size_t gateway, Duration length)
+    -> void {
+  nodes_.at(gateway)->freeze_at_send = length;
+}
+
+auto GatewayFixture::CutPeers(std::size_t one, std::size_t other, bool cut)
+    -> void {
+  for (const auto& it : {std::pair(one, other), std::pair(other, one)}) {
+    if (cut) {
+      peer_cuts_.insert(it);
+    } else {
+      peer_cuts_.erase(it);
+    }
+  }
+}
+
+auto GatewayFixture::RevokeLease(std::size_t gateway) -> void {
+  auto& it = *nodes_.at(gateway);
+  it.turned_away = true;
+  StoreCall call;
+  call.op = StoreOp::kLeaseRevoke;
+  call.lease = it.lease;
+  store_.Handle(call, timers_.Now().time_since_epoch() / Milliseconds(1));
+  PushStoreEvents();
+}
+
+auto GatewayFixture::ServeAgain(std::size_t gateway) -> void {
+  nodes_.at(gateway)->turned_away = false;
+}
+
+auto GatewayFixture::Holder() -> std::size_t {
+  StoreCall call;
+  call.op = StoreOp::kGet;
+  call.key = "kingcuplock/owner/g0";
+  const auto answer =
+      store_.Handle(call, timers_.Now().time_since_epoch() / Milliseconds(1));
+  const auto record = DecodeFrame(answer.items.at(0).value, FrameFormat::kJson)
+                          .get<OwnerRecord>();
+  return std::stoul(record.owner.substr(std::string("gw-").size()));
+}
+
 auto GatewayFixture::HandOut(std::size_t node) -> void {
   for (;;) {
     auto& it = *nodes_[node];
@@ -127,6 +191,9 @@
   auto& node = *nodes_.at(n);
   node.up = false;
   node.gateway.reset();
+  node.frozen = false;
+  node.turned_away = false;
+  node.waiting.clear();
   node.out.Take();
   node.shell.Take();
   for (const auto& [id, link] : node.links) {
--- a/testing/gateway_fixture.h
+++ b/testing/gateway_fixture.h
@@ -107,6 +107,21 @@
   auto KillGateway(std::size_t gateway) -> void;
   auto StartGateway(std::size_t gateway) -> void;
   auto StopGateway(std::size_t gateway) -> void;
+  /// A frozen gateway handles nothing; what reaches it waits. Time goes on.
+  auto Freeze(std::size_t gateway, bool frozen) -> void;
+  /// The machine stands still for so long between the decision to send its next
+  /// statement under a grant, or its next order, and the sending.
+  auto FreezeAtSend(std::size_t gateway, Duration length) -> void;
+  /// Messages between the two gateways are lost.
+  auto CutPeers(std::size_t one, std::size_t other, bool cut) -> void;
+  /// Demotions are lost.
+  auto LoseDemotions(bool lose) -> void { lose_demotions_ = lose; }
+  /// The store takes a gateway's keys away, and serves it no more until
+  /// restored.
+  auto RevokeLease(std::size_t gateway) -> void;
+  auto ServeAgain(std::size_t gateway) -> void;
+  /// Returns the holder of the promotion duty, by the record in the store.
+  auto Holder() -> std::size_t;
   /// The platform loses its answers to orders, and carries them out so much
   /// later.
   auto LoseOrders(std::optional<Duration> late) -> void { order_late_ = late; }
@@ -151,6 +166,11 @@
     std::int64_t life = 0;
     bool up = false;
     bool stopped = false;
+    bool frozen = false;
+    bool turned_away = false;
+    Duration freeze_at_send{};
+    std::int64_t lease = 0;
+    std::vector<std::function<void()>> waiting;
     ConnectionId last_inbound = 0;
   };
   struct Client {
@@ -168,6 +188,7 @@
       -> void;
   auto Reaches(std::size_t node, const std::string& member) const -> bool;
   auto HandOut(std::size_t node) -> void;
+  auto Enter(std::size_t node, std::function<void()> work) -> void;
   auto Perform(std::size_t node, Action& action) -> void;
   auto Perform(std::size_t node, GatewayAction& action) -> void;
   auto OnStoreCall(std::size_t node, const StoreCall& call) -> void;
@@ -197,6 +218,8 @@
   std::map<std::string, int> lost_answers_;
   bool store_up_ = true;
   std::optional<Duration> order_late_;
+  bool lose_demotions_ = false;
+  std::set<std::pair<std::size_t, std::size_t>> peer_cuts_;
   std::map<std::string, std::string> put_;
   int own_statements_ = 0;
   std::size_t reports_ = 0;
--- a/testing/gateway_fixture_actions.cc
+++ b/testing/gateway_fixture_actions.cc
@@ -70,10 +70,13 @@
 auto GatewayFixture::OnStoreCall(std::size_t node, const StoreCall& call)
     -> void {
   timers_.After(options_.delay, [this, node, call] {
-    if (!store_up_) {
+    if (!store_up_ || nodes_[node]->turned_away) {
       return;
     }
     auto& it = *nodes_[node];
+    if (call.op == StoreOp::kLeaseRenew) {
+      it.lease = call.lease;
+    }
     const auto answer =
         store_.Handle(call, timers_.Now().time_since_epoch() / Milliseconds(1));
     if (call.op == StoreOp::kWatch && it.up) {
@@ -96,7 +99,7 @@
       const auto wanted = std::any_of(
           prefixes.begin(), prefixes.end(),
           [&](const auto& it) { return event.item.key.starts_with(it); });
-      if (!wanted || !store_up_) {
+      if (!wanted || !store_up_ || nodes_[n]->turned_away) {
         continue;
       }
       After(options_.delay, n, [this, n, event] {
@@ -140,6 +143,9 @@
     reports_ += beat->groups.size();
   }
   const auto [far, id] = found->second;
+  if (peer_cuts_.contains({node, far})) {
+    return;
+  }
   MessageArrived event;
   event.connection = id;
   const auto passed = std::visit(
@@ -215,6 +221,28 @@
 auto GatewayFixture::RunStatement(std::size_t node, const SendStatement& send)
     -> void {
   own_statements_ += send.statement.id.empty() ? 1 : 0;
+  if (lose_demotions_ && send.statement.kind == StatementKind::kDemote) {
+    return;
+  }
+  auto& sender = *nodes_[node];
+  if (send.not_after && sender.freeze_at_send > Duration::zero()) {
+    const auto wakes = timers_.Now() + std::exchange(sender.freeze_at_send, {});
+    const auto late = wakes >= *send.not_after;
+    Freeze(node, true);
+    timers_.After(wakes - timers_.Now(), [this, node, send, late] {
+      if (late) {
+        nodes_[node]->waiting.insert(nodes_[node]->waiting.begin(),
+                                     [this, node, link = send.link] {
+                                       DropLink(node, link, Reach::kReached);
+                                     });
+      }
+      Freeze(node, false);
+      if (!late) {
+        RunStatement(node, send);
+      }
+    });
+    return;
+  }
   const auto it = nodes_[node]->links.find(send.link);
   if (it == nodes_[node]->links.end() || it->second.session == 0) {
     return;
@@ -253,6 +281,23 @@
 
 auto GatewayFixture::OnOrder(std::size_t node, const OrderPromotion& order)
     -> void {
+  auto& sender = *nodes_[node];
+  if (order.not_after && sender.freeze_at_send > Duration::zero()) {
+    const auto wakes = timers_.Now() + std::exchange(sender.freeze_at_send, {});
+    Freeze(node, true);
+    timers_.After(wakes - timers_.Now(), [this, node, order, wakes] {
+      Freeze(node, false);
+      if (wakes < *order.not_after) {
+        OnOrder(node, order);
+        return;
+      }
+      After(Duration::zero(), node, [this, node, order] {
+        nodes_[node]->gateway->OnPromotionAnswered(
+            order.id, PromotionOutcome::kUnavailable);
+      });
+    });
+    return;
+  }
   fences_.push_back(order.fence);
   if (order_late_) {
     timers_.After(*order_late_, [this, order] {
