--- a/kingcuplock/gateway/gateway.h
+++ b/kingcuplock/gateway/gateway.h
@@ -186,6 +186,9 @@
   std::optional<Time> stopping_since_;
   int refused_probes_ = 0;
   std::optional<Time> out_of_rotation_since_;
+  /// Until when something that a former duty of this instance ordered may take
+  /// effect, by group.
+  std::map<std::string, Time> unsettled_;
   /// Groups whose duty was given up.
   std::set<std::string> released_;
   bool stop_complete_ = false;
--- a/kingcuplock/gateway/gateway_duty.cc
+++ b/kingcuplock/gateway/gateway_duty.cc
@@ -48,11 +48,7 @@
   origin.epoch = record.epoch;
   origin.term = record.term;
   origin.predecessor = record.previous;
-  if (record.previous == settings_.instance) {
-    // An earlier run of this instance is over, but can't tell how far it went.
-    origin.predecessor.clear();
-    origin.term = 0;
-  }
+  origin.unsettled = unsettled_[group];
   origin.lease = Milliseconds(settings_.timing.lease_ttl_ms);
   origin.fenced = settings_.promotions_fenced;
   duties_[group] = std::make_unique<PromotionDuty>(
@@ -62,6 +58,9 @@
 }
 
 auto Gateway::OnDutyLost(const std::string& group) -> void {
+  if (const auto duty = duties_.find(group); duty != duties_.end()) {
+    unsettled_[group] = duty->second->UnsettledUntil();
+  }
   duties_.erase(group);
   if (auto* it = FindGroup(group)) {
     it->SetWatching(false);
@@ -182,12 +181,9 @@
 // A new holder waits for this answer, so it is given only once nothing that
 // this instance ordered can be carried out any more.
 auto Gateway::OnStepDown(ConnectionId source, const StepDown& told) -> void {
-  const auto duty = duties_.find(told.group);
-  if (duty != duties_.end() && duty->second->IsOrdering()) {
-    return;
-  }
   duties_kept_.StepDown(told.group, told.epoch);
-  if (!duties_.contains(told.group)) {
+  if (!duties_.contains(told.group) &&
+      timers_.Now() >= unsettled_[told.group]) {
     const auto* group = FindGroup(told.group);
     shell_.Send(source,
                 SteppedDown{settings_.instance, told.group, told.epoch,
--- a/kingcuplock/gateway/gateway_stop.cc
+++ b/kingcuplock/gateway/gateway_stop.cc
@@ -60,13 +60,16 @@
   StopTick();
 }
 
-// A duty whose order is under way is kept until it was answered.
+// A duty whose order may still take effect is kept until it can't; at worst its
+// lease ends with this instance, and the next holder waits.
 auto Gateway::ReleaseDuties() -> void {
   for (const auto& [name, group] : groups_) {
     const auto duty = duties_.find(name);
-    const auto ordering = !settings_.promotions_fenced &&
-                          duty != duties_.end() && duty->second->IsOrdering();
-    if (duties_kept_.Owns(name) && !ordering && released_.insert(name).second) {
+    const auto unsettled = !settings_.promotions_fenced &&
+                           duty != duties_.end() &&
+                           duty->second->UnsettledUntil() > timers_.Now();
+    if (duties_kept_.Owns(name) && !unsettled &&
+        released_.insert(name).second) {
       duties_kept_.Release(
           name, [](bool) {}, group->primary().term());
     }
--- a/kingcuplock/gateway/group.h
+++ b/kingcuplock/gateway/group.h
@@ -148,6 +148,9 @@
   /// Lets a paused member receive again.
   auto Resume(const std::string& member) -> void;
 
+  /// Returns when a promotion was last seen here, nullopt for never.
+  auto PromotionSeen() const -> std::optional<Time> { return promotion_seen_; }
+
   /// Returns what this instance knows of the primary.
   auto Report() const -> GroupReport;
 
@@ -291,6 +294,8 @@
   Time lost_at_{};
   /// Time in which an ordered member began to lead, as measured.
   Duration promotion_time_;
+  std::int64_t newest_term_ = 0;
+  std::optional<Time> promotion_seen_;
   GrantUser grants_;
   std::map<std::uint64_t, LeadWaiter> waiters_;
   std::uint64_t last_waiter_ = 0;
--- a/kingcuplock/gateway/group_outcome.cc
+++ b/kingcuplock/gateway/group_outcome.cc
@@ -309,6 +309,11 @@
 
 auto Group::PrimaryChanged(std::string_view source) -> void {
   trials_ = 0;
+  if (primary_.term() > newest_term_) {
+    if (std::exchange(newest_term_, primary_.term()) > 0) {
+      promotion_seen_ = timers_.Now();
+    }
+  }
   log_.Log(Event::kPrimaryBelieved,
            {{"group", config_.name},
             {"primary", primary_.member()},
--- a/kingcuplock/gateway/promotion_duty.cc
+++ b/kingcuplock/gateway/promotion_duty.cc
@@ -41,7 +41,8 @@
       origin_(std::move(origin)),
       permit_(timers.Now(),
               origin_.predecessor.empty() ? timers.Now()
-                                          : timers.Now() + origin_.lease),
+                                          : timers.Now() + origin_.lease,
+              origin_.unsettled),
       acquired_(timers.Now()),
       group_(group),
       ports_(std::move(ports)),
@@ -173,8 +174,7 @@
   const auto is_primary =
       group_.primary().IsUsable() && member == group_.primary().member();
   // While an order may still be carried out, nobody else is ordered to lead.
-  if (!origin_.fenced && permit_.HasLateOrder(timers_.Now()) &&
-      permit_.late_member() != member) {
+  if (!origin_.fenced && !permit_.IsOnlyLate(member, timers_.Now())) {
     return false;
   }
   return entry != nullptr && (!entry->leaving || last_resort_) && !is_primary &&
@@ -196,6 +196,7 @@
   phase_ = Phase::kHearing;
   reason_ = std::string(reason);
   ++attempt_;
+  permit_.NoteResumed();
   hearings_.BeginAttempt(attempt_);
   answered_ = 0;
   // Replicas that stop receiving can't fall behind what is acknowledged
@@ -330,7 +331,6 @@
     phase_ = Phase::kWatching;
     suspected_since_.reset();
     if (!origin_.fenced) {
-      permit_.ForgetLateOrder();
       permit_.NoteResumed();
       replaced_[group_.primary().member()] = ordered_term_;
       replaced_.erase(ordered_member_);
--- a/kingcuplock/gateway/promotion_duty.h
+++ b/kingcuplock/gateway/promotion_duty.h
@@ -61,6 +61,8 @@
   std::string predecessor = {};
   /// Longest time that its lease may go on.
   Duration lease{};
+  /// Until when an order of an earlier duty of this instance may take effect.
+  Time unsettled{};
   /// Whether the platform checks fencing tokens.
   bool fenced = true;
 };
@@ -94,9 +96,12 @@
   /// Grants and orders nothing more: the duty is about to be given up.
   auto Retire() -> void { retired_ = true; }
 
-  /// Returns whether an order is under way, or may still be carried out.
-  auto IsOrdering() const -> bool {
-    return phase_ == Phase::kOrdering || permit_.HasLateOrder(timers_.Now());
+  /// Returns until when an order of this duty, or the former holder, may still
+  /// act; no later than now if nothing may.
+  auto UnsettledUntil() const -> Time {
+    const auto ordering =
+        phase_ == Phase::kOrdering || group_.primary().IsPending();
+    return permit_.UnsettledUntil(timers_.Now(), ordering);
   }
 
   /// Returns whether a promotion is being prepared or carried out.
@@ -131,6 +136,7 @@
   // Without fencing tokens.
   auto AskForTenure() -> void;
   auto LookAround() -> void;
+  auto NoteLeftPaused(const std::string& member, LogPlace place) -> void;
   auto LookAt(const std::string& member) -> void;
   auto KnowsPrimary() const -> bool;
   auto WatchSuccessor() -> void;
@@ -157,6 +163,10 @@
   /// Members that no former holder can have had promoted unknown to this one.
   std::set<std::string> cleared_;
   std::set<std::string> looked_at_;
+  /// Whether a promotion by the former holder was taken into account.
+  bool recalled_ = false;
+  /// How far the member got that the former holder may have ordered.
+  std::optional<LogPlace> left_place_;
   Time acquired_;
   Time next_step_down_{};
   Time next_look_{};
--- a/kingcuplock/gateway/promotion_grants.cc
+++ b/kingcuplock/gateway/promotion_grants.cc
@@ -43,12 +43,13 @@
                     !retired_ && KnowsPrimary() && primary.IsUsable() &&
                     !primary.IsPending() && primary.successor().empty() &&
                     primary.term() > 0;
-  if (origin_.fenced || !well || !permit_.MayGrant(now, ports_.lease_until())) {
+  if (origin_.fenced || !well ||
+      !permit_.MayGrant(primary.member(), now, ports_.lease_until())) {
     return out;
   }
   out.member = primary.member();
   out.term = primary.term();
-  out.lasts_ms = permit_.Give(now).count();
+  out.lasts_ms = kGrantLife.count();
   return out;
 }
 
@@ -91,7 +92,14 @@
 
 auto PromotionDuty::LookAround() -> void {
   const auto now = timers_.Now();
-  if (KnowsPrimary() || now < next_look_) {
+  const auto seen = group_.PromotionSeen();
+  if (looked_at_.empty() && !told_term_ && seen && !recalled_ &&
+      now - *seen < kLateOrder) {
+    // The former holder may have ordered it more than once.
+    recalled_ = true;
+    permit_.NoteLateOrder(group_.primary().member(), *seen);
+  }
+  if (now < next_look_) {
     return;
   }
   next_look_ = now + kLookPause;
@@ -115,13 +123,28 @@
         looked_at_.insert(member);
         cleared_.insert(member);
         group_.NoteStatus(member, *report);
-        if (report->paused_term > 0 && phase_ == Phase::kWatching) {
-          // Left by a holder that did not come to its end.
+        const auto left = report->paused_term > group_.primary().term() &&
+                          phase_ == Phase::kWatching;
+        if (left && told_term_) {
           group_.Resume(member);
+        } else if (left) {
+          NoteLeftPaused(member, report->received);
         }
       }));
 }
 
+// The former holder may have ordered a member that it paused. Of several, it
+// took the one that has received most.
+auto PromotionDuty::NoteLeftPaused(const std::string& member, LogPlace place)
+    -> void {
+  paused_ = true;
+  if (left_place_ && place <= *left_place_) {
+    return;
+  }
+  left_place_ = place;
+  permit_.NoteLateOrder(member, permit_.TenuredFrom());
+}
+
 // Statements wait for a grant, so that none of them finds out.
 auto PromotionDuty::WatchSuccessor() -> void {
   const auto& primary = group_.primary();
@@ -165,17 +188,10 @@
 }
 
 auto PromotionDuty::EndLateOrder() -> void {
-  if (permit_.late_member().empty()) {
-    return;
-  }
-  const auto& primary = group_.primary();
-  const auto leads = primary.IsUsable() && !primary.IsPending() &&
-                     primary.member() == permit_.late_member();
-  if (leads || !permit_.HasLateOrder(timers_.Now())) {
-    permit_.ForgetLateOrder();
-    if (paused_ && phase_ == Phase::kWatching) {
-      ResumeMembers();
-    }
+  const auto now = timers_.Now();
+  if (permit_.ForgetLateOrders(now) && !permit_.HasLateOrder(now) && paused_ &&
+      phase_ == Phase::kWatching) {
+    ResumeMembers();
   }
 }
 
--- a/kingcuplock/grants/grant_rules.h
+++ b/kingcuplock/grants/grant_rules.h
@@ -16,11 +16,9 @@
 struct AllGrantRules {
   /// A grant counts from when it was asked for, not from when it arrived.
   static constexpr bool kCountFromAsk = true;
-  /// A promotion waits for the end of the grants that its holder gave.
+  /// A promotion waits, from the pause of its candidate on, for the end of
+  /// grants and of evidence from before it.
   static constexpr bool kWaitForGrants = true;
-  /// A promotion waits for the end of what its candidate's reports allowed
-  /// before it was paused.
-  static constexpr bool kWaitForReports = true;
   /// A paused member gives no evidence that nobody replaces the primary.
   static constexpr bool kSeePause = true;
   /// Evidence needs a report of every other member.
@@ -30,7 +28,7 @@
   /// An order goes out only under a lease that is valid.
   static constexpr bool kValidLease = true;
   /// Nothing is granted and nobody else is ordered to lead while an order may
-  /// still be carried out.
+  /// still be carried out, a former holder's as well.
   static constexpr bool kOneOrder = true;
 };
 
@@ -39,7 +37,6 @@
 concept GrantRules = requires {
   { T::kCountFromAsk } -> std::convertible_to<bool>;
   { T::kWaitForGrants } -> std::convertible_to<bool>;
-  { T::kWaitForReports } -> std::convertible_to<bool>;
   { T::kSeePause } -> std::convertible_to<bool>;
   { T::kHearAll } -> std::convertible_to<bool>;
   { T::kTenure } -> std::convertible_to<bool>;
--- a/kingcuplock/grants/grants_test.cc
+++ b/kingcuplock/grants/grants_test.cc
@@ -71,49 +71,55 @@
   evidence.Note("m3", &replica);
   REQUIRE(evidence.Holds());
   CHECK(evidence.Grant().Covers("m2", kNow));
-  CHECK_FALSE(evidence.Grant().Covers("m2", kNow + kEvidenceLife));
+  CHECK_FALSE(evidence.Grant().Covers("m2", kNow + kGrantLife));
 }
 
 TEST_CASE("A new holder waits for its predecessor's lease, or its word") {
-  PromotionPermit<> silent(kNow, kNow + kLease);
+  PromotionPermit<> silent(kNow, kNow + kLease, kNow);
   const auto forever = Time::max();
-  CHECK_FALSE(silent.MayGrant(kNow + kLease - Milliseconds(1), forever));
-  CHECK(silent.MayGrant(kNow + kLease, forever));
+  CHECK_FALSE(silent.MayGrant("m1", kNow + kLease - Milliseconds(1), forever));
+  CHECK(silent.MayGrant("m1", kNow + kLease, forever));
 
-  PromotionPermit<> told(kNow, kNow + kLease);
+  PromotionPermit<> told(kNow, kNow + kLease, kNow);
   told.NoteSteppedDown(kNow + Milliseconds(10));
-  CHECK(told.MayGrant(kNow + Milliseconds(10), forever));
-  told.NotePaused("m2", kNow);
+  CHECK(told.MayGrant("m1", kNow + Milliseconds(10), forever));
   // What the predecessor granted may go on.
+  told.NotePaused("m2", kNow + Milliseconds(10));
   CHECK(told.OrderableFrom("m2") ==
         kNow + Milliseconds(10) + kGrantLife - kLeastPromotionTime);
 }
 
-TEST_CASE("An order waits for the grants given and for its member's reports") {
-  PromotionPermit<> permit(kNow, kNow);
+TEST_CASE("An earlier order of the same holder is waited for in any case") {
+  const auto own = kNow + Milliseconds(700);
+  PromotionPermit<> permit(kNow, kNow + kLease, own);
+  permit.NoteSteppedDown(kNow + Milliseconds(10));
+  CHECK(permit.TenuredFrom() == own);
+  CHECK(permit.UnsettledUntil(kNow, false) == own);
+  CHECK(permit.UnsettledUntil(own, false) == own);
+  CHECK(permit.UnsettledUntil(own, true) == own + kLateOrder);
+}
+
+TEST_CASE("An order waits for what was granted before its member's pause") {
+  PromotionPermit<> permit(kNow, kNow, kNow);
   const auto later = kNow + Milliseconds(5000);
   CHECK(permit.OrderableFrom("m2") == Time::max());
   permit.NotePaused("m2", later);
-  CHECK(permit.OrderableFrom("m2") ==
-        later + kEvidenceLife - kLeastPromotionTime);
-  permit.Give(later + Milliseconds(100));
-  CHECK(permit.OrderableFrom("m2") ==
-        later + Milliseconds(100) + kGrantLife - kLeastPromotionTime);
+  CHECK(permit.OrderableFrom("m2") == later + kGrantLife - kLeastPromotionTime);
   permit.NoteResumed();
   CHECK(permit.OrderableFrom("m2") == Time::max());
 }
 
 TEST_CASE("Nothing is granted or ordered under a lease that may have lapsed") {
-  PromotionPermit<> permit(kNow, kNow);
+  PromotionPermit<> permit(kNow, kNow, kNow);
   const auto late = kNow + Milliseconds(5000);
   permit.NotePaused("m2", kNow);
   CHECK(permit.MayOrder("m2", late, late + Milliseconds(1)));
   CHECK_FALSE(permit.MayOrder("m2", late, late));
-  CHECK_FALSE(permit.MayGrant(late, late));
+  CHECK_FALSE(permit.MayGrant("m1", late, late));
 }
 
 TEST_CASE("While an order may be carried out late, nobody else is ordered") {
-  PromotionPermit<> permit(kNow, kNow);
+  PromotionPermit<> permit(kNow, kNow, kNow);
   const auto forever = Time::max();
   const auto later = kNow + Milliseconds(1000);
   permit.NotePaused("m2", kNow);
@@ -121,10 +127,11 @@
   permit.NoteLateOrder("m2", later);
   CHECK(permit.MayOrder("m2", later, forever));
   CHECK_FALSE(permit.MayOrder("m3", later, forever));
-  CHECK_FALSE(permit.MayGrant(later, forever));
+  CHECK_FALSE(permit.MayGrant("m1", later, forever));
   CHECK(permit.MayOrder("m3", later + kLateOrder, forever));
-  permit.ForgetLateOrder();
-  CHECK(permit.MayGrant(later, forever));
+  // Carried out again, it changes nothing while its member leads.
+  CHECK(permit.MayGrant("m2", later, forever));
+  CHECK(permit.MayGrant("m1", later + kLateOrder, forever));
 }
 
 TEST_CASE("A position counts once a grant proves that its member led") {
--- a/kingcuplock/grants/lead_evidence.h
+++ b/kingcuplock/grants/lead_evidence.h
@@ -33,7 +33,7 @@
                std::int64_t term,
                std::vector<std::string> others,
                Time asked)
-      : grant_{std::move(primary), term, asked + kEvidenceLife},
+      : grant_{std::move(primary), term, asked + kGrantLife},
         missing_(others.begin(), others.end()),
         refuted_(missing_.empty()) {}
 
--- a/kingcuplock/grants/lead_grant.h
+++ b/kingcuplock/grants/lead_grant.h
@@ -18,12 +18,10 @@
 
 namespace kingcuplock {
 
-/// Validity in ms of a holder's grant: long enough that renewals cost little
-/// beside the statements they cover, short beside a promotion.
+/// Validity in ms of a holder's grant, and of evidence counted from when the
+/// members were asked: long enough that renewals cost little beside the
+/// statements they cover, short beside a promotion.
 constexpr Milliseconds kGrantLife{500};
-/// Validity in ms of evidence, counted from when the members were asked. Every
-/// question takes a slot of a member.
-constexpr Milliseconds kEvidenceLife{500};
 /// Least time in ms from an order until it takes effect. The platform speaks of
 /// some hundred; a promotion may be ordered so much ahead of the last grant's
 /// end.
--- a/kingcuplock/grants/promotion_permit.h
+++ b/kingcuplock/grants/promotion_permit.h
@@ -6,15 +6,14 @@
 /// once nobody relies on the primary before any more.
 ///
 /// Example:
-///   PromotionPermit<> permit(now, now + ttl);
-///   if (permit.MayGrant(now, lease_until)) { Send(permit.Give(now)); }
+///   PromotionPermit<> permit(now, now + ttl, now);
+///   if (permit.MayGrant("m-1", now, lease_until)) { Send(kGrantLife); }
 ///   permit.NotePaused("m-2", now);
 ///   if (permit.MayOrder("m-2", now, lease_until)) { Order("m-2"); }
 
 #include <algorithm>
 #include <map>
 #include <string>
-#include <string_view>
 
 #include "kingcuplock/base/timer_service.h"
 #include "kingcuplock/grants/grant_rules.h"
@@ -31,41 +30,48 @@
 class PromotionPermit {
  public:
   /// `predecessor_ends` is when a former holder that did not give the duty up
-  /// can't act any more, at the latest; `now` if there is none. What it granted
-  /// may go on for a grant's validity in any case.
-  PromotionPermit(Time now, Time predecessor_ends)
-      : tenured_from_(Rules::kTenure ? predecessor_ends : now),
-        grants_end_(Rules::kTenure ? predecessor_ends + kGrantLife : now) {}
+  /// can't act any more, at the latest; `now` if there is none. `own_ends` is
+  /// when nothing of an earlier tenure of this holder can take effect.
+  PromotionPermit(Time now, Time predecessor_ends, Time own_ends)
+      : own_ends_(Rules::kTenure ? own_ends : now),
+        tenured_from_(Rules::kTenure ? std::max(predecessor_ends, own_ends)
+                                     : now) {}
 
   /// The former holder told at `now` that it orders and grants no more.
   auto NoteSteppedDown(Time now) -> void {
-    if (now < tenured_from_) {
-      tenured_from_ = now;
-      grants_end_ = now + kGrantLife;
+    tenured_from_ = std::min(tenured_from_, std::max(now, own_ends_));
+  }
+
+  /// Returns until when something that this holder, or the one before it, did
+  /// may take effect; `now` if nothing may. `ordering` says whether an order is
+  /// under way or accepted, and its member does not lead yet.
+  auto UnsettledUntil(Time now, bool ordering) const -> Time {
+    auto until = std::max(now, tenured_from_);
+    if (ordering) {
+      until = std::max<Time>(until, now + kLateOrder);
     }
+    return std::max(until, LateUntil());
   }
 
   /// Returns from when this holder is the only one that acts.
   auto TenuredFrom() const -> Time { return tenured_from_; }
 
-  /// Returns whether a grant may be given, the primary being known and well.
-  /// `lease_until` is when the own lease may lapse.
-  auto MayGrant(Time now, Time lease_until) const -> bool {
-    return now >= tenured_from_ && now < lease_until && !HasLateOrder(now);
-  }
-
-  /// Notes a grant, and returns its validity from now on.
-  auto Give(Time now) -> Milliseconds {
-    grants_end_ = now + kGrantLife;
-    return kGrantLife;
+  /// Returns whether the use of `primary`, which is known to lead, may be
+  /// granted. `lease_until` is when the own lease may lapse. A late order does
+  /// no harm while its own member leads.
+  auto MayGrant(const std::string& primary, Time now, Time lease_until) const
+      -> bool {
+    return now >= tenured_from_ && now < lease_until &&
+           IsOnlyLate(primary, now);
   }
 
-  /// A member answered at `now` that it is paused for the next promotion.
+  /// A member answered at `now` that it is paused for the next promotion. The
+  /// holder has granted nothing since it asked.
   auto NotePaused(const std::string& member, Time now) -> void {
     paused_[member] = now;
   }
 
-  /// The members receive again.
+  /// The members receive again, or are about to be asked anew.
   auto NoteResumed() -> void { paused_.clear(); }
 
   /// Returns the earliest time at which a paused member may be ordered to lead;
@@ -75,49 +81,58 @@
     if (paused == paused_.end()) {
       return Time::max();
     }
-    auto from = tenured_from_;
-    if (Rules::kWaitForGrants) {
-      from = std::max<Time>(from, grants_end_ - kLeastPromotionTime);
-    }
-    if (Rules::kWaitForReports) {
-      from = std::max<Time>(
-          from, paused->second + kEvidenceLife - kLeastPromotionTime);
-    }
-    return from;
+    const auto reports_end = paused->second + kGrantLife - kLeastPromotionTime;
+    return Rules::kWaitForGrants ? std::max<Time>(tenured_from_, reports_end)
+                                 : tenured_from_;
   }
 
   /// Returns whether an order may be sent at `now`.
   auto MayOrder(const std::string& member, Time now, Time lease_until) const
       -> bool {
-    const auto only =
-        !Rules::kOneOrder || !HasLateOrder(now) || late_member_ == member;
-    return now >= OrderableFrom(member) && only &&
+    return now >= OrderableFrom(member) && IsOnlyLate(member, now) &&
            (!Rules::kValidLease || now < lease_until);
   }
 
-  /// An order sent at `now` got no answer; it may be carried out later.
+  /// An order sent at `now` or before got no answer, or may be carried out
+  /// again.
   auto NoteLateOrder(const std::string& member, Time now) -> void {
-    late_member_ = member;
-    late_until_ = now + kLateOrder;
+    auto& until = late_[member];
+    until = std::max<Time>(until, now + kLateOrder);
   }
 
   /// Returns whether an order may still be carried out.
   auto HasLateOrder(Time now) const -> bool {
-    return Rules::kOneOrder && !late_member_.empty() && now < late_until_;
+    return Rules::kOneOrder && LateUntil() > now;
   }
 
-  /// Member of the late order, empty for none.
-  auto late_member() const -> const std::string& { return late_member_; }
+  /// Returns whether no order may still be carried out but for `member`.
+  auto IsOnlyLate(const std::string& member, Time now) const -> bool {
+    return !Rules::kOneOrder ||
+           std::all_of(late_.begin(), late_.end(), [&](const auto& it) {
+             return it.first == member || it.second <= now;
+           });
+  }
 
-  /// The late order was carried out, or its member is gone.
-  auto ForgetLateOrder() -> void { late_member_.clear(); }
+  /// Forgets orders whose time is over; returns whether any was.
+  auto ForgetLateOrders(Time now) -> bool {
+    return std::erase_if(
+               late_, [now](const auto& it) { return it.second <= now; }) > 0;
+  }
 
  private:
+  auto LateUntil() const -> Time {
+    Time until{};
+    for (const auto& [member, it] : late_) {
+      until = std::max(until, it);
+    }
+    return until;
+  }
+
+  Time own_ends_;
   Time tenured_from_;
-  Time grants_end_;
   std::map<std::string, Time> paused_;
-  std::string late_member_;
-  Time late_until_{};
+  /// Until when an order for a member may be carried out.
+  std::map<std::string, Time> late_;
 };
 
 }  // namespace kingcuplock
--- a/kingcuplock/ownership/ownership_keeper.cc
+++ b/kingcuplock/ownership/ownership_keeper.cc
@@ -200,7 +200,13 @@
 void OwnershipKeeper::TakeOver(const std::string& database) {
   auto& entry = entries_.at(database);
   OwnerRecord next = entry.record.value_or(OwnerRecord{});
-  next.previous = next.phase == Phase::kReleased ? "" : next.owner;
+  if (next.phase == Phase::kReleased) {
+    next.previous.clear();
+  } else if (next.owner != names_.instance) {
+    // An earlier run of this instance may not have outlived its own
+    // predecessor, which stays on record.
+    next.previous = next.owner;
+  }
   next.epoch = std::max(next.epoch + 1, entry.least_epoch);
   next.owner = names_.instance;
   next.lease = lease_.lease();
