--- a/kingcuplock/gateway/gateway.cc
+++ b/kingcuplock/gateway/gateway.cc
@@ -74,7 +74,9 @@
                 holders_.NoteBeat(it.instance, PeerSide::kAnswers,
                                   timers_.Now());
                 if (NoteHeartbeat(it)) {
-                  peers_.Send(it.instance, RoutesWanted{settings_.instance});
+                  WantRoutes(it.routes_version, [this, peer = it.instance] {
+                    peers_.Send(peer, AskForRoutes());
+                  });
                 }
               },
               [this](const std::string& peer) { reports_.erase(peer); },
--- a/kingcuplock/gateway/gateway.h
+++ b/kingcuplock/gateway/gateway.h
@@ -10,6 +10,7 @@
 ///   gateway.Handle(peer_or_store_event);
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -119,8 +120,10 @@
       -> void;
   auto BuildHeartbeat(std::span<const GroupReport> told = {}) -> Heartbeat;
   auto NoteHeartbeat(const Heartbeat& heartbeat) -> bool;
+  auto WantRoutes(std::int64_t version, std::function<void()> ask) -> void;
   auto TakeOffer(const RoutesOffer& offer, std::string_view source) -> void;
-  auto BuildOffer() const -> RoutesOffer;
+  auto AskForRoutes() const -> RoutesWanted;
+  auto BuildOffer(const RoutesWanted& wanted) const -> RoutesOffer;
   auto SpreadGroup(const std::string& group) -> void;
   auto SendHeartbeats() -> void;
   auto AskPeersForRoutes() -> void;
@@ -178,6 +181,8 @@
   std::map<std::string, Time> spread_;
   bool spreading_ = false;
   bool choosing_peers_ = false;
+  /// Whether a newer table is waited for.
+  bool asking_routes_ = false;
   /// Inbound peer links; news go out on them too.
   std::set<ConnectionId> inbound_peers_;
   std::int64_t last_order_ = 0;
--- a/kingcuplock/gateway/gateway_load_test.cc
+++ b/kingcuplock/gateway/gateway_load_test.cc
@@ -52,5 +52,32 @@
   CHECK(world.Reports() == before);
 }
 
+// Fan-out of a large configuration: everybody learns of it at once, on links
+// that take a good part of a second for one copy.
+TEST_CASE("A large route table comes from the store, not from every peer") {
+  GatewayFixture world({.gateways = 12});
+  world.RunFor(Milliseconds(2500));
+  const auto before = world.Offers();
+  world.SetStoreStagger(Milliseconds(40));
+  world.ChangeRoutes(2, 2000);
+  world.RunFor(Milliseconds(2000));
+  for (std::size_t n = 0; n < 12; ++n) {
+    CHECK(world.gateway(n).Gauges().routes_version == 2);
+  }
+  CHECK(world.Offers() == before);
+}
+
+TEST_CASE("An instance that the store turns away gets the table from a peer") {
+  GatewayFixture world({.gateways = 12});
+  world.RunFor(Milliseconds(2500));
+  world.RevokeLease(3);
+  world.RunFor(Milliseconds(2500));
+  const auto before = world.Offers();
+  world.ChangeRoutes(2, 2000);
+  world.RunFor(Milliseconds(2500));
+  CHECK(world.gateway(3).Gauges().routes_version == 2);
+  CHECK(world.Offers() - before <= 2);
+}
+
 }  // namespace
 }  // namespace kingcuplock
--- a/kingcuplock/gateway/gateway_peers.cc
+++ b/kingcuplock/gateway/gateway_peers.cc
@@ -13,6 +13,9 @@
 constexpr Milliseconds kSpreadFor{3000};
 /// Pause in ms within which changes of several groups share one heartbeat.
 constexpr Milliseconds kSpreadPause{5};
+/// Time in ms for the store, or a peer that was asked, to bring a newer table:
+/// a quarter of the shortest time in which one has to be in force.
+constexpr Milliseconds kRoutesPatience{750};
 /// Interval in ms at which peers are asked for configuration and endpoints
 /// while the store can't be reached.
 constexpr Milliseconds kAskInterval{1000};
@@ -47,10 +50,11 @@
     shell_.Send(source, BuildHeartbeat(heartbeat->groups));
     peers_.OnInboundHeartbeat(*heartbeat);
     if (wants) {
-      shell_.Send(source, RoutesWanted{settings_.instance});
+      WantRoutes(heartbeat->routes_version,
+                 [this, source] { shell_.Send(source, AskForRoutes()); });
     }
-  } else if (std::holds_alternative<RoutesWanted>(message)) {
-    shell_.Send(source, BuildOffer());
+  } else if (const auto* wanted = std::get_if<RoutesWanted>(&message)) {
+    shell_.Send(source, BuildOffer(*wanted));
   } else if (const auto* offer = std::get_if<RoutesOffer>(&message)) {
     TakeOffer(*offer, "peer");
   } else if (const auto* hand_over = std::get_if<HandOver>(&message)) {
@@ -70,8 +74,8 @@
     -> void {
   if (const auto* offer = std::get_if<RoutesOffer>(&message)) {
     TakeOffer(*offer, peer);
-  } else if (std::holds_alternative<RoutesWanted>(message)) {
-    peers_.Send(peer, BuildOffer());
+  } else if (const auto* wanted = std::get_if<RoutesWanted>(&message)) {
+    peers_.Send(peer, BuildOffer(*wanted));
   } else if (const auto* given = std::get_if<GrantGiven>(&message)) {
     if (auto* group = FindGroup(given->group)) {
       group->OnGrantGiven(*given);
@@ -81,8 +85,17 @@
   }
 }
 
-auto Gateway::BuildOffer() const -> RoutesOffer {
-  return {routes_.table(), endpoints_.All()};
+auto Gateway::AskForRoutes() const -> RoutesWanted {
+  return {settings_.instance, routes_.table().version};
+}
+
+auto Gateway::BuildOffer(const RoutesWanted& wanted) const -> RoutesOffer {
+  RoutesOffer out;
+  if (routes_.table().version > wanted.version) {
+    out.table = routes_.table();
+  }
+  out.endpoints = endpoints_.All();
+  return out;
 }
 
 // Endpoints of a peer count only while the store, which knows better, is away.
@@ -138,6 +151,28 @@
   return heartbeat.routes_version > routes_.table().version || lacks_endpoints;
 }
 
+// A table may be large beside an instance's link, and every peer that has it
+// tells so. It is asked for at one of them at a time, and while the store can
+// be reached only if the store does not bring it.
+auto Gateway::WantRoutes(std::int64_t version, std::function<void()> ask)
+    -> void {
+  if (asking_routes_) {
+    return;
+  }
+  asking_routes_ = true;
+  const auto reachable = store_.IsReachable();
+  if (!reachable) {
+    ask();
+  }
+  timers_.After(kRoutesPatience,
+                [this, version, reachable, ask = std::move(ask)] {
+                  asking_routes_ = false;
+                  if (reachable && routes_.table().version < version) {
+                    ask();
+                  }
+                });
+}
+
 auto Gateway::SpreadGroup(const std::string& group) -> void {
   spread_[group] = timers_.Now() + kSpreadFor;
   if (std::exchange(spreading_, true)) {
@@ -162,7 +197,7 @@
     return;
   }
   for (const auto& it : peers_.Live()) {
-    if (peers_.Send(it, RoutesWanted{settings_.instance})) {
+    if (peers_.Send(it, AskForRoutes())) {
       return;
     }
   }
--- a/kingcuplock/schema/messages.cc
+++ b/kingcuplock/schema/messages.cc
@@ -499,12 +499,15 @@
 void to_json(nlohmann::json& out, const RoutesWanted& value) {
   out = nlohmann::json::object();
   out["type"] = "routes_wanted";
+  static const RoutesWanted kDefaults;
   out["instance"] = value.instance;
+  internal::WriteOptional(out, "version", value.version, kDefaults.version);
 }
 
 void from_json(const nlohmann::json& in, RoutesWanted& value) {
   internal::RequireObject(in, "RoutesWanted");
   internal::ReadRequired(in, "instance", value.instance);
+  internal::ReadOptional(in, "version", value.version);
 }
 
 void to_json(nlohmann::json& out, const RoutesOffer& value) {
--- a/kingcuplock/schema/messages.h
+++ b/kingcuplock/schema/messages.h
@@ -521,6 +521,9 @@
 struct RoutesWanted {
   /// Sender.
   std::string instance{};
+  /// Route table version that the sender has, 0 for none; the answer leaves out
+  /// a table that is no newer.
+  std::int64_t version{};
 
   auto operator==(const RoutesWanted&) const -> bool = default;
 };
--- a/testing/gateway_fixture.cc
+++ b/testing/gateway_fixture.cc
@@ -33,18 +33,7 @@
 
 GatewayFixture::GatewayFixture(GatewayFixtureOptions options)
     : options_(options), group_("g0", {"m1", "m2", "m3"}, options.group) {
-  RouteTable table;
-  table.version = 1;
-  const std::pair<std::string, ReadMode> routes[] = {
-      {"db-primary", ReadMode::kPrimary},
-      {"db-bounded", ReadMode::kBounded},
-      {"db-session", ReadMode::kSession}};
-  for (const auto& [database, mode] : routes) {
-    table.routes.push_back({database, "g0", mode, options_.max_age_ms,
-                            options_.timeout_ms, options_.target_ms, 1});
-  }
-  table.groups.push_back({"g0", options_.group.connections, 0});
-  store_.Put(std::string(kRoutesKey), EncodeJson(table, FrameFormat::kJson));
+  ChangeRoutes(1, 0);
   UpdateRoles();
   for (std::size_t n = 0; n < options_.gateways; ++n) {
     nodes_.push_back(std::make_unique<Node>());
@@ -54,6 +43,25 @@
 
 GatewayFixture::~GatewayFixture() = default;
 
+auto GatewayFixture::ChangeRoutes(std::int64_t version, std::size_t routes)
+    -> void {
+  RouteTable table;
+  table.version = version;
+  const auto add = [&](std::string database, ReadMode mode) {
+    table.routes.push_back({std::move(database), "g0", mode,
+                            options_.max_age_ms, options_.timeout_ms,
+                            options_.target_ms, 1});
+  };
+  add("db-primary", ReadMode::kPrimary);
+  add("db-bounded", ReadMode::kBounded);
+  add("db-session", ReadMode::kSession);
+  for (std::size_t n = 0; n < routes; ++n) {
+    add(fmt::format("db-{}", n), ReadMode::kBounded);
+  }
+  table.groups.push_back({"g0", options_.group.connections, 0});
+  store_.Put(std::string(kRoutesKey), EncodeJson(table, FrameFormat::kJson));
+}
+
 // ------------------------------------------------------------------- time
 
 auto GatewayFixture::RunFor(Duration duration) -> void {
--- a/testing/gateway_fixture.h
+++ b/testing/gateway_fixture.h
@@ -101,6 +101,13 @@
   auto Cut(std::size_t gateway, const std::string& member, bool cut) -> void;
   /// The next answers of a member are lost, so many.
   auto LoseAnswers(const std::string& member, int count) -> void;
+  /// Puts a route table of so many routes, and a version above the last, into
+  /// the store.
+  auto ChangeRoutes(std::int64_t version, std::size_t routes) -> void;
+  /// The store's news reach gateway N after N times so long.
+  auto SetStoreStagger(Duration stagger) -> void { store_stagger_ = stagger; }
+  /// Route tables that gateways sent each other.
+  auto Offers() const -> std::size_t { return offers_; }
   auto SetStoreUp(bool up) -> void { store_up_ = up; }
   auto SetLeaving(const std::string& member) -> void;
   auto ShowEntries() -> void { options_.hidden.clear(); }
@@ -223,6 +230,8 @@
   std::map<std::string, std::string> put_;
   int own_statements_ = 0;
   std::size_t reports_ = 0;
+  std::size_t offers_ = 0;
+  Duration store_stagger_{};
   std::vector<LogAction> logs_;
   std::vector<std::int64_t> fences_;
   ConnectionId last_client_ = 0;
--- a/testing/gateway_fixture_actions.cc
+++ b/testing/gateway_fixture_actions.cc
@@ -102,7 +102,8 @@
       if (!wanted || !store_up_ || nodes_[n]->turned_away) {
         continue;
       }
-      After(options_.delay, n, [this, n, event] {
+      const auto late = store_stagger_ * static_cast<std::int64_t>(n);
+      After(options_.delay + late, n, [this, n, event] {
         MessageArrived arrived;
         arrived.connection = nodes_[n]->store;
         arrived.message = StoreReply{event};
@@ -142,6 +143,9 @@
   if (const auto* beat = std::get_if<Heartbeat>(&send.message)) {
     reports_ += beat->groups.size();
   }
+  if (const auto* offer = std::get_if<RoutesOffer>(&send.message)) {
+    offers_ += offer->table.version > 0 ? 1 : 0;
+  }
   const auto [far, id] = found->second;
   if (peer_cuts_.contains({node, far})) {
     return;
