--- a/soak/platform_standin.py
+++ b/soak/platform_standin.py
@@ -10,6 +10,8 @@
 import urllib.parse
 
 APPLY_LAG_S = 0.03
+# Time after which a replaced primary learns of its successor.
+LEARNS_S = 1.0
 PROMOTION_S = 0.5
 LEASE_TICK_S = 0.05
 
@@ -122,8 +124,9 @@
 class Group:
     """Logs and leads of the members of one service."""
 
-    def __init__(self, name, members, connections):
+    def __init__(self, name, members, connections, fenced):
         self.name = name
+        self.fenced = fenced
         self.connections = connections
         self.members = {it: Member(it, self) for it in members}
         self.primary = members[0]
@@ -142,12 +145,18 @@
     def applied(self, member):
         if member.name == self.primary:
             return len(self.log)
+        if member.goes_on():
+            return min(member.count, len(self.log))
         now = time.monotonic()
         while member.count < len(self.log) and self.log[member.count][1] + APPLY_LAG_S * member.lag < now:
             member.count += 1
         return member.count
 
     def commit(self, member, writes):
+        if member.goes_on():
+            self.broken.append(f"{writes} committed at {member.name}, which was replaced")
+            member.own_number += 1
+            return
         place = (self.term, (self.log[-1][0][1] if self.log else 0) + 1)
         self.log.append((place, time.monotonic(), writes))
 
@@ -156,18 +165,26 @@
         if not target.up or member == self.primary:
             return
         kept = len(self.log) if not target.deaf else self.applied(target)
+        before = self.members.get(self.primary)
+        if not self.fenced and before is not None and before.up:
+            before.goes_on_until = time.monotonic() + LEARNS_S
+            before.own_term, before.own_number, before.count = self.term, self.log[-1][0][1] if self.log else 0, kept
         self.cut += self.log[kept:]
         self.log = self.log[:kept]
         self.term += 1
         self.primary = member
+        target.goes_on_until = 0
         for it in self.members.values():
             it.count = min(it.count, kept)
+            it.paused = 0
 
     async def order(self, body, headers):
         fence, holder = int(headers["fencing-token"]), headers["duty-holder"]
         if self.fences.setdefault(fence, holder) != holder:
             self.broken.append(f"fencing token {fence} used by {self.fences[fence]} and {holder}")
         if fence < self.highest_fence:
+            if not self.fenced:
+                self.broken.append(f"fencing token {fence} of {holder} after {self.highest_fence}")
             return 409, {}
         self.highest_fence = fence
         member = body["identifier"]
@@ -200,13 +217,33 @@
         self.lag = 1.0
         self.count = 0
         self.lose = 0
+        self.paused = 0
+        self.goes_on_until = 0  # a replaced primary that does not know it
+        self.own_term = self.own_number = 0
         self.work_s = 0.002
         self.open = 0
         self.writers = set()
         self.port = 0
 
+    def goes_on(self):
+        return self.up and time.monotonic() < self.goes_on_until
+
+    def leads(self):
+        return self.group.primary == self.name or self.goes_on()
+
+    def term(self):
+        return self.own_term if self.goes_on() else self.group.term
+
+    def demote(self, term):
+        if self.goes_on() and self.own_term < term:
+            self.goes_on_until = 0
+        elif self.group.primary == self.name and self.group.term < term:
+            self.group.primary = ""
+            self.count = len(self.group.log)
+
     def crash(self):
         self.up = False
+        self.paused = self.goes_on_until = 0
         for it in list(self.writers):
             it.transport.abort()
 
@@ -250,6 +287,8 @@
             await writer.drain()
 
     def position(self):
+        if self.goes_on():
+            return f"{self.own_term}.{self.own_number}"
         term, number = self.group.place(self.group.applied(self))
         return f"{term}.{number}"
 
@@ -269,13 +308,13 @@
                 return self.fail(session, "LAGGING")
             words = words[2:]
         text = " ".join(words)
-        leads = self.group.primary == self.name
+        leads = self.leads()
         verb = words[0]
         if verb == "BEGIN":
             session.read_only = words[1:] == ["READ"]
             if not session.read_only and not leads:
                 return self.fail(session, "READONLY")
-            session.state, session.term, session.writes = "T", self.group.term, []
+            session.state, session.term, session.writes = "T", self.term(), []
         elif verb == "ROLLBACK":
             session.state, session.writes = "I", []
         elif verb == "SET":
@@ -284,9 +323,13 @@
             session.prepared[words[1]] = (words[2], words[3])
         elif verb == "RESET":
             session.values, session.prepared = {}, {}
-        elif verb in ("STATUS", "PAUSE", "RESUME"):
-            role = "primary" if leads else "replica"
-            return [f"ROW {role} {self.group.term} {self.position()} 0 1 1 {self.open}", "DONE -"], False
+        elif verb in ("STATUS", "PAUSE", "RESUME", "DEMOTE"):
+            if verb == "DEMOTE":
+                self.demote(int(words[1]))
+            elif verb != "STATUS":
+                self.paused = int(words[1]) if verb == "PAUSE" else 0
+            role = "primary" if self.leads() else "replica"
+            return [f"ROW {role} {self.term()} {self.position()} {self.paused} 1 1 {self.open}", "DONE -"], False
         else:
             return self.run_data(session, statement, text, words, leads)
         return ["DONE -"], False
@@ -301,7 +344,7 @@
             access, shape = session.prepared[words[1]]
             writes = access == "WRITE"
         commits = verb == "COMMIT"
-        lost = (session.state == "T" and not session.read_only and (not leads or session.term != self.group.term)
+        lost = (session.state == "T" and not session.read_only and (not leads or session.term != self.term())
                 and not (commits and not session.writes))
         if lost or (writes and (not leads or session.read_only)):
             return self.fail(session, "READONLY")
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -75,7 +75,7 @@
         self.log = open(world.folder / f"gateway-{number}.log", "ab")
         settings = {"node_name": f"gw-{number}", "zone": f"z{number % 3}", "ip_address": "127.0.0.1",
                     "listen_addresses": {"front": f"127.0.0.1:{base}", "ready": f"127.0.0.1:{base + 1}"},
-                    "internal_ports": [base + 2, base + 3], "bounds": {"grace_s": STOP_S, "drain_ms": 7000},
+                    "internal_ports": [base + 2, base + 3], "bounds": {"grace_s": STOP_S, "drain_ms": 7000, "fencing_required": not world.options.unfenced},
                     "platform": {"address": f"127.0.0.1:{world.store_proxies[number].listen_port}",
                                  "ttl_minimum_ms": 1000},
                     "cloud": {"address": f"127.0.0.1:{world.cloud_port}"}}
@@ -117,7 +117,7 @@
         self.store = Store()
         self.store_modes = {}
         self.cloud_mode = "up"
-        self.group = Group(SERVICE, ["i-1", "i-2", "i-3"], 4 * options.gateways)
+        self.group = Group(SERVICE, ["i-1", "i-2", "i-3"], 4 * options.gateways, not options.unfenced)
         self.broken = []
         self.sent = {}  # statement id: (text, values, route, first byte, session)
         self.told = []  # (write id, time told, session)
@@ -476,6 +476,8 @@
     parser.add_argument("--gateways", type=int, default=3)
     parser.add_argument("--clients", type=int, default=24)
     parser.add_argument("--planned-only", action="store_true", help="stops and changes only; nothing may be cut")
+    parser.add_argument("--unfenced", action="store_true",
+                        help="no fencing tokens are checked, and a replaced primary goes on for a second")
     parser.add_argument("--most-memory-mb", type=int, default=2000)
     parser.add_argument("--most-processes", type=int, default=50)
     parser.add_argument("--base-port", type=int, default=21000)
