--- a/kingcuplock/gateway/gateway_outcome_test.cc
+++ b/kingcuplock/gateway/gateway_outcome_test.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <doctest/doctest.h>
 
 #include "testing/gateway_fixture.h"
@@ -197,5 +199,29 @@
   CHECK(world.AnswerTo(write)->IsOk());
 }
 
+// A client's mistake must not look like a replaced primary: it was tried again
+// until its deadline, and the belief about the primary fell each time.
+TEST_CASE("A write in a read-only transaction is refused at once") {
+  for (const auto* database : {"db-primary", "db-bounded", "db-session"}) {
+    GatewayFixture world({.gateways = 1});
+    world.RunFor(Milliseconds(1200));
+    const auto client = world.OpenClient(0, database);
+    world.Say(client, "b", StatementKind::kBeginReadOnly);
+    const auto believed = [&] {
+      return std::count_if(
+          world.logs().begin(), world.logs().end(),
+          [](const auto& it) { return it.event == Event::kPrimaryBelieved; });
+    };
+    world.RunFor(Milliseconds(100));
+    const auto before = believed();
+    const auto write = world.Say(client, "w", StatementKind::kWrite, "a 1");
+    world.RunFor(Milliseconds(20));
+    REQUIRE(world.AnswerTo(write) != nullptr);
+    CHECK(world.AnswerTo(write)->error == StatementError::kReadOnly);
+    CHECK(believed() == before);
+    CHECK(world.Check().empty());
+  }
+}
+
 }  // namespace
 }  // namespace kingcuplock
--- a/kingcuplock/gateway/session.cc
+++ b/kingcuplock/gateway/session.cc
@@ -197,6 +197,12 @@
     }
     prepared = it->second;
   }
+  if (state_ == TransactionState::kOpen && read_only_ &&
+      Writes(statement, prepared ? &*prepared : nullptr)) {
+    Fail(StatementError::kReadOnly,
+         "the transaction is read-only; begin one that writes");
+    return;
+  }
   if (state_ == TransactionState::kIdle) {
     if (statement.kind == StatementKind::kCommit) {
       Fail(StatementError::kMalformed, "no transaction is open");
--- a/soak/platform_standin.py
+++ b/soak/platform_standin.py
@@ -137,6 +137,7 @@
         self.fences = {}
         self.highest_fence = 0
         self.broken = []
+        self.strays = []  # writes that a replaced primary took
         self.signatures = {}
 
     def place(self, count):
@@ -154,7 +155,7 @@
 
     def commit(self, member, writes):
         if member.goes_on():
-            self.broken.append(f"{writes} committed at {member.name}, which was replaced")
+            self.strays += writes
             member.own_number += 1
             return
         place = (self.term, (self.log[-1][0][1] if self.log else 0) + 1)
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -272,6 +272,8 @@
             self.broken += [f"{it} ({self.sent[it][0]}) was cut by gateway {number} in a planned stop after {after:.3f} s, "
                             f"{'run' if it in ran else 'not run'} by a member"
                             for it, number, after in self.cut if it in ran or after > LOSS_SLACK_S]
+        told = {it[0] for it in self.told}
+        self.broken += [f"{it} was acknowledged by a primary that was replaced" for it in self.group.strays if it in told]
         self.broken += self.group.broken
         return self.broken
 
