--- a/kingcuplock/gateway/group.cc
+++ b/kingcuplock/gateway/group.cc
@@ -391,6 +391,10 @@
   for (const auto& [name, member] : members_) {
     const auto reach = member.pool->reach();
     const auto is_primary = primary_.IsUsable() && name == primary_.member();
+    if (task.floor && !is_primary &&
+        !member.places.MayHold(*task.floor, timers_.Now())) {
+      continue;
+    }
     if (member.entry.leaving || reach == Reach::kRefused ||
         reach == Reach::kSilent || Contains(task.tried, name)) {
       continue;
@@ -494,6 +498,9 @@
     return false;
   }
   task->sent = timers_.Now();
+  if (task->access == Access::kReplicaRead && task->floor) {
+    member.places.NoteAsked(*task->floor, task->sent);
+  }
   const auto at_pending = primary_.IsPending() &&
                           member.entry.member == primary_.member() &&
                           task->access != Access::kReplicaRead;
--- a/kingcuplock/gateway/group.h
+++ b/kingcuplock/gateway/group.h
@@ -33,6 +33,7 @@
 #include "kingcuplock/grants/grant_user.h"
 #include "kingcuplock/grants/lead_evidence.h"
 #include "kingcuplock/routing/age_tracker.h"
+#include "kingcuplock/routing/place_memory.h"
 #include "kingcuplock/schema/messages.h"
 
 namespace kingcuplock {
@@ -178,6 +179,7 @@
     EndpointEntry entry;
     std::shared_ptr<LinkPool> pool;
     LatencyAverage latency;
+    PlaceMemory places;
     std::optional<Time> leaving_since;
     bool registered = true;
   };
--- a/kingcuplock/gateway/group_outcome.cc
+++ b/kingcuplock/gateway/group_outcome.cc
@@ -81,6 +81,11 @@
         result.member == primary_.member() ? primary_queue_ : read_queue_;
     queue.NoteService(timers_.Now() - task->sent);
   }
+  auto* member = FindMember(result.member);
+  if (result.answer.IsOk() && task->access == Access::kReplicaRead &&
+      task->floor && member != nullptr) {
+    member->places.NoteHolds(*task->floor);
+  }
   result.place_lost = task->place_lost;
   LogTask(
       result.answer.IsOk() ? Event::kStatementServed : Event::kStatementFailed,
@@ -185,6 +190,10 @@
 auto Group::OnLagging(const TaskPtr& task, const std::string& member) -> void {
   task->tried.push_back(member);
   const auto at_primary = primary_.IsUsable() && member == primary_.member();
+  auto* known = FindMember(member);
+  if (task->floor && known != nullptr) {
+    known->places.NoteLacks(*task->floor, timers_.Now());
+  }
   if (!at_primary) {
     --task->attempts;
     Dispatch(task);
