--- a/kingcuplock/gateway/gateway_load_test.cc
+++ b/kingcuplock/gateway/gateway_load_test.cc
@@ -79,5 +79,29 @@
   CHECK(world.Offers() - before <= 2);
 }
 
+// The pattern: reads wait for a floor while the primary answers but nobody
+// vouches for it.
+TEST_CASE("A primary without a grant is not asked for samples all the time") {
+  GatewayFixture world({.gateways = 2, .group = {.fenced = false}});
+  world.RunFor(Milliseconds(3000));
+  // The duty's holder is gone and a member is silent: no evidence either.
+  const auto holder = world.Holder();
+  const auto other = 1 - holder;
+  world.SetStoreUp(false);
+  world.KillGateway(holder);
+  world.SetDark("m3", true);
+  world.RunFor(Milliseconds(1600));
+  const auto before = world.OwnStatements();
+  for (auto n = 0; n < 20; ++n) {
+    const auto client = world.OpenClient(other, "db-bounded");
+    world.Say(client, "r" + std::to_string(n), StatementKind::kRead, "a");
+    world.RunFor(Milliseconds(50));
+  }
+  // One sample each 25 ms, and three questions each 50 ms for evidence.
+  CHECK(world.OwnStatements() - before <= 120);
+  world.RunFor(kDrain);
+  CHECK(world.Check().empty());
+}
+
 }  // namespace
 }  // namespace kingcuplock
--- a/kingcuplock/gateway/group_outcome.cc
+++ b/kingcuplock/gateway/group_outcome.cc
@@ -454,7 +454,10 @@
               if (led) {
                 NoteLed(member, sent, it->received);
               }
-              timers_.After(led ? Duration::zero() : Duration(kSamplePause),
+              // Without a grant the sample proves nothing yet.
+              const auto newest = ages_.Newest();
+              const auto proved = led && newest && newest->first >= sent;
+              timers_.After(proved ? Duration::zero() : Duration(kSamplePause),
                             guard_.Bind([this] {
                               sampling_ = false;
                               Pump();
