--- a/kingcuplock/admission/admission_queue.h
+++ b/kingcuplock/admission/admission_queue.h
@@ -202,6 +202,17 @@
   /// Returns how long one request holds its slot, by the newest measurements.
   auto Service() const -> Duration { return service_; }
 
+  /// Returns how many requests would be served at once if none had to wait.
+  auto Demand(Time now) const -> double {
+    auto offered = 0.0;
+    for (const auto& [priority, lane] : lanes_) {
+      for (const auto& [name, kind] : lane) {
+        offered += kind.share.Offered(now);
+      }
+    }
+    return offered * std::chrono::duration<double>(service_).count();
+  }
+
   /// Returns how long a new item of `priority` will wait and run, as long as
   /// nothing more urgent arrives.
   auto ExpectedTime(std::int64_t priority) const -> Duration {
--- a/kingcuplock/gateway/group.cc
+++ b/kingcuplock/gateway/group.cc
@@ -481,7 +481,7 @@
   if (member.pool->MayStart(queue.IsUrgent(task.route.priority))) {
     return true;
   }
-  member.pool->NoteWaiting();
+  member.pool->NoteWaiting(queue.Demand(timers_.Now()));
   return false;
 }
 
