--- a/kingcuplock/gateway/gateway.cc
+++ b/kingcuplock/gateway/gateway.cc
@@ -34,7 +34,7 @@
                  TimerService& timers,
                  GatewayOutbox& out,
                  Outbox& shell,
-                 AnswerObserver observer)
+                 GatewayObserver observer)
     : settings_(std::move(settings)),
       names_(NamesOf(settings_, incarnation)),
       timers_(timers),
@@ -82,11 +82,12 @@
               [this](const std::string& peer) { reports_.erase(peer); },
               [this] { ApplyInstances(); }},
              PeerLinking::kListed),
+      observer_(std::move(observer)),
       session_ports_{
           [this](const std::string& it) { return routes_.Find(it); },
           [this](const std::string& it) { return FindGroup(it); },
           [this] { return Milliseconds(routes_.table().transaction_idle_ms); },
-          std::move(observer)} {}
+          observer_.answered} {}
 
 Gateway::~Gateway() {
   // Sessions give their connections back to the groups.
@@ -236,7 +237,8 @@
         GroupPorts{[this, name = it.name] { OnGroupChanged(name); },
                    [this, name = it.name](std::int64_t ask) {
                      return AskGrant(name, ask);
-                   }});
+                   },
+                   observer_.served});
   }
   duties_kept_.SetDatabases(names);
   // The news go on from peer to peer.
@@ -345,6 +347,7 @@
   for (const auto& [name, group] : groups_) {
     out.connections += group->Connections();
     out.waiting += group->Waiting();
+    group->AddGauges(out.members);
   }
   out.routes_version = routes_.table().version;
   out.peers = peers_.Live().size() - 1;
--- a/kingcuplock/gateway/gateway.h
+++ b/kingcuplock/gateway/gateway.h
@@ -52,21 +52,27 @@
   std::int64_t routes_version = 0;
   std::size_t peers = 0;
   bool ready = false;
+  std::vector<MemberGauge> members;
+};
+
+/// What a gateway tells its metrics.
+struct GatewayObserver {
+  /// A statement was answered after `latency`.
+  std::function<void(StatementError, Duration latency)> answered;
+  /// A statement was served: its time here before a member got it, and there.
+  std::function<void(Duration waited, Duration at_member)> served;
 };
 
 /// Not thread safe.
 class Gateway {
  public:
-  /// Notes a statement's answer, for metrics.
-  using AnswerObserver = std::function<void(StatementError, Duration)>;
-
   /// `incarnation` differs between two runs of the same instance.
   Gateway(GatewaySettings settings,
           const std::string& incarnation,
           TimerService& timers,
           GatewayOutbox& out,
           Outbox& shell,
-          AnswerObserver observer);
+          GatewayObserver observer);
   ~Gateway();
   Gateway(const Gateway&) = delete;
   auto operator=(const Gateway&) -> Gateway& = delete;
@@ -162,6 +168,7 @@
   EndpointDirectory endpoints_;
   OwnershipKeeper duties_kept_;
   PeerLinks peers_;
+  GatewayObserver observer_;
   SessionPorts session_ports_;
   std::map<std::string, std::unique_ptr<Group>> groups_;
   std::map<std::string, std::unique_ptr<PromotionDuty>> duties_;
--- a/kingcuplock/gateway/gateway_log_test.cc
+++ b/kingcuplock/gateway/gateway_log_test.cc
@@ -60,8 +60,9 @@
   world.RunFor(Milliseconds(1000));
   const auto refused = LinesOf(world, Event::kStatementRefused, "w1");
   REQUIRE(refused.size() == 1);
-  CheckFields(refused[0], {"group", "outcome", "access", "primary", "term",
-                           "attempts", "age_ms", "left_ms"});
+  CheckFields(refused[0],
+              {"group", "outcome", "access", "primary", "term", "attempts",
+               "age_ms", "left_ms", "waited_ms", "waiting"});
   CHECK(LinesOf(world, Event::kStatementFailed, "w1").size() == 1);
 }
 
@@ -137,7 +138,10 @@
   REQUIRE(attempts.size() == 1);
   CheckFields(attempts[0],
               {"group", "member", "outcome", "access", "age_ms", "left_ms"});
-  CHECK(LinesOf(world, Event::kStatementServed, "r1").size() == 1);
+  const auto served = LinesOf(world, Event::kStatementServed, "r1");
+  REQUIRE(served.size() == 1);
+  CheckFields(served[0],
+              {"waited_ms", "member_ms", "in_flight", "limit", "slots"});
 }
 
 }  // namespace
--- a/kingcuplock/gateway/group.cc
+++ b/kingcuplock/gateway/group.cc
@@ -290,6 +290,14 @@
   return primary_queue_.Size() + read_queue_.Size();
 }
 
+auto Group::AddGauges(std::vector<MemberGauge>& out) const -> void {
+  for (const auto& [name, member] : members_) {
+    out.push_back({config_.name, name, member.pool->flights().in_flight(),
+                   member.pool->flights().limit(), member.entry.slots,
+                   member.pool->Size()});
+  }
+}
+
 auto Group::Connections() const -> std::size_t {
   std::size_t n = 0;
   for (const auto& [name, member] : members_) {
@@ -320,6 +328,7 @@
 
 auto Group::Submit(const TaskPtr& task) -> void {
   retries_.NoteRequest();
+  task->submitted = timers_.Now();
   const Duration target = Milliseconds(task->route.target_ms);
   NoteTarget(target);
   task->wanted_by = timers_.Now() + target;
@@ -498,6 +507,8 @@
     return false;
   }
   task->sent = timers_.Now();
+  task->flight = {member.pool->flights().in_flight(),
+                  member.pool->flights().limit(), member.entry.slots};
   if (task->access == Access::kReplicaRead && task->floor) {
     member.places.NoteAsked(*task->floor, task->sent);
   }
--- a/kingcuplock/gateway/group.h
+++ b/kingcuplock/gateway/group.h
@@ -38,6 +38,16 @@
 
 namespace kingcuplock {
 
+/// What this instance has at one member, for metrics.
+struct MemberGauge {
+  std::string group;
+  std::string member;
+  std::int64_t in_flight = 0;
+  double limit = 0;
+  std::int64_t slots = 0;
+  std::size_t connections = 0;
+};
+
 /// What a group reports.
 struct GroupPorts {
   /// The belief about the primary, or its reach, changed: peers should know.
@@ -45,6 +55,9 @@
   /// Asks the holder of the promotion duty for a grant; returns false if it
   /// can't be asked. OnGrantGiven() takes the answer.
   std::function<bool(std::int64_t ask)> ask_grant;
+  /// A task was served after it waited here for `waited` and was at a member
+  /// for `at_member`.
+  std::function<void(Duration waited, Duration at_member)> served;
 };
 
 /// Where an instance stands, and how the platform treats its members.
@@ -166,6 +179,8 @@
   auto IsPrimaryLost() const -> bool;
   /// Returns how many tasks wait for a connection or a primary.
   auto Waiting() const -> std::size_t;
+  /// Adds what this instance has at each member.
+  auto AddGauges(std::vector<MemberGauge>& out) const -> void;
   /// Returns the connections held to all members.
   auto Connections() const -> std::size_t;
 
--- a/kingcuplock/gateway/group_outcome.cc
+++ b/kingcuplock/gateway/group_outcome.cc
@@ -59,6 +59,16 @@
       {"attempts", std::to_string(task.attempts)},
       {"age_ms", ms(timers_.Now() - task.arrived)},
       {"left_ms", ms(task.deadline - timers_.Now())}};
+  if (task.sent != Time{}) {
+    fields.emplace_back("waited_ms", ms(task.sent - task.submitted));
+    fields.emplace_back("member_ms", ms(timers_.Now() - task.sent));
+    fields.emplace_back("in_flight", std::to_string(task.flight.in_flight));
+    fields.emplace_back("limit", fmt::format("{:.1f}", task.flight.limit));
+    fields.emplace_back("slots", std::to_string(task.flight.slots));
+  } else {
+    fields.emplace_back("waited_ms", ms(timers_.Now() - task.submitted));
+    fields.emplace_back("waiting", std::to_string(Waiting()));
+  }
   if (task.floor) {
     fields.emplace_back(
         "floor", fmt::format("{}.{}", task.floor->term, task.floor->position));
@@ -80,6 +90,7 @@
     auto& queue =
         result.member == primary_.member() ? primary_queue_ : read_queue_;
     queue.NoteService(timers_.Now() - task->sent);
+    ports_.served(task->sent - task->submitted, timers_.Now() - task->sent);
   }
   auto* member = FindMember(result.member);
   if (result.answer.IsOk() && task->access == Access::kReplicaRead &&
--- a/kingcuplock/gateway/task.h
+++ b/kingcuplock/gateway/task.h
@@ -63,6 +63,16 @@
   bool place_lost = false;
 };
 
+/// A member's load at the send of a task, as this instance knew it.
+struct FlightAtSend {
+  /// Statements of this instance in flight there, this one included.
+  std::int64_t in_flight = 0;
+  /// Limit on them.
+  double limit = 0;
+  /// Statements that the member runs at once.
+  std::int64_t slots = 0;
+};
+
 /// Shared between the session and the group's queues.
 struct Task {
   ConnectionId client = 0;
@@ -97,7 +107,10 @@
   bool place_lost = false;
   /// Floor of the newest attempt, and the age of the sample it came from.
   std::optional<LogPlace> floor;
+  /// When it came to the group, and when its newest attempt was sent.
+  Time submitted{};
   Time sent{};
+  FlightAtSend flight;
   /// Until when the member is known to lead, if a grant says so; the statement
   /// then needs no proof of its own.
   std::optional<Time> granted_until;
--- a/kingcuplock/owner/request_runner.cc
+++ b/kingcuplock/owner/request_runner.cc
@@ -61,14 +61,14 @@
 
 void RequestRunner::Enqueue(const RequestPtr& request) {
   retry_budget_.NoteRequest();
-  Refuse(queue_.Push(
-      {request->kind.priority, request->caller, request->deadline, request},
-      timers_.Now()));
+  Refuse(queue_.Push({request->kind.priority, request->caller,
+                      request->deadline, request, request->kind.name},
+                     timers_.Now()));
 }
 
 void RequestRunner::Requeue(const RequestPtr& request) {
-  queue_.PushFront(
-      {request->kind.priority, request->caller, request->deadline, request});
+  queue_.PushFront({request->kind.priority, request->caller, request->deadline,
+                    request, request->kind.name});
 }
 
 void RequestRunner::Refuse(const std::vector<QueuedItem<RequestPtr>>& late) {
--- a/testing/gateway_fixture.cc
+++ b/testing/gateway_fixture.cc
@@ -190,7 +190,9 @@
   node.timers = std::make_unique<TimerService>(timers_.Now());
   node.gateway = std::make_unique<Gateway>(
       Settings(n, options_.group.fenced), fmt::format("gw-{}@{}", n, node.life),
-      *node.timers, node.out, node.shell, [](StatementError, Duration) {});
+      *node.timers, node.out, node.shell,
+      GatewayObserver{[](StatementError, Duration) {},
+                      [](Duration, Duration) {}});
   node.gateway->Start();
   HandOut(n);
 }
