--- a/kingcuplock/admission/flight_limit.h
+++ b/kingcuplock/admission/flight_limit.h
@@ -118,6 +118,10 @@
   static constexpr double kLeastShares = 0.5;
   /// Part of a share that is added while there is room at the member.
   static constexpr double kRaise = 0.25;
+  /// Factor of a raise, up to one statement, while the member is far from a
+  /// standing queue: a limit that an overload left low is back soon where a
+  /// share is small.
+  static constexpr double kFastRaise = 1.5;
   /// Least factor of one decrease.
   static constexpr double kLowest = 0.7;
   /// Pauses that urgent statements may run up.
@@ -167,7 +171,9 @@
                         std::chrono::duration<double>(*shortest_);
       limit_ *= std::max(over, kLowest);
     } else if (binding_) {
-      limit_ += kRaise * Share();
+      const auto ample = 2 * *shortest_ < options_.standing;
+      const auto fast = std::min(kFastRaise * limit_, 1.0);
+      limit_ = std::max(limit_ + kRaise * Share(), ample ? fast : 0);
     }
     limit_ = std::clamp(limit_, Least(), Most());
     Begin(now);
--- a/kingcuplock/admission/flight_limit_test.cc
+++ b/kingcuplock/admission/flight_limit_test.cc
@@ -54,6 +54,16 @@
   CHECK(limit.limit() > 4);
 }
 
+// The pattern: far more instances than slots, and an overload that is over.
+TEST_CASE("A limit far under one is back within seconds once there is room") {
+  FlightLimit limit({.slots = 2, .instances = 78, .most = 2});
+  auto now = kNow;
+  Answer(limit, 200, Milliseconds(90), now);
+  REQUIRE(limit.limit() < 0.05);
+  Answer(limit, 100, Milliseconds(4), now);
+  CHECK(limit.limit() >= 1);
+}
+
 TEST_CASE("A limit that does not bind is not raised") {
   FlightLimit limit({.slots = 5, .instances = 5, .most = 12});
   for (auto n = 0; n < 100; ++n) {
