--- a/benchmarks/group_load/main.cc
+++ b/benchmarks/group_load/main.cc
@@ -23,26 +23,6 @@
 namespace kingcuplock {
 namespace {
 
-/// A limit that does not change, as a rival of the one that learns.
-class FixedLimit {
- public:
-  explicit FixedLimit(std::int64_t limit) : limit_(limit) {}
-  auto MayStart(Time /*now*/, bool /*urgent*/) const -> bool {
-    return in_flight_ < limit_;
-  }
-  static auto ResumesAt(Time /*now*/) -> std::optional<Time> {
-    return std::nullopt;
-  }
-  auto NoteStart() -> void { ++in_flight_; }
-  auto NoteWaiting() -> void {}
-  auto NoteAnswer(Time /*now*/, Duration /*took*/) -> void { --in_flight_; }
-  auto NoteBusy(Time /*now*/, Duration /*took*/) -> void { --in_flight_; }
-
- private:
-  std::int64_t limit_;
-  std::int64_t in_flight_ = 0;
-};
-
 struct Row {
   std::string pattern;
   std::string policy;
--- a/kingcuplock/admission/flight_limit_test.cc
+++ b/kingcuplock/admission/flight_limit_test.cc
@@ -133,26 +133,6 @@
       .Run();
 }
 
-/// What an instance does that only counts its connections.
-class ConnectionsOnly {
- public:
-  explicit ConnectionsOnly(std::int64_t limit) : limit_(limit) {}
-  auto MayStart(Time /*now*/, bool /*urgent*/) const -> bool {
-    return in_flight_ < limit_;
-  }
-  static auto ResumesAt(Time /*now*/) -> std::optional<Time> {
-    return std::nullopt;
-  }
-  auto NoteStart() -> void { ++in_flight_; }
-  auto NoteWaiting() -> void {}
-  auto NoteAnswer(Time /*now*/, Duration /*took*/) -> void { --in_flight_; }
-  auto NoteBusy(Time /*now*/, Duration /*took*/) -> void { --in_flight_; }
-
- private:
-  std::int64_t limit_;
-  std::int64_t in_flight_ = 0;
-};
-
 TEST_CASE(
     "One primary carries the reads of lagging replicas: urgent ones do "
     "not wait behind the others") {
@@ -234,8 +214,8 @@
     for (std::uint64_t run = 0; run < kRuns; ++run) {
       const auto own = seed + 1000 * run;
       learned += Play(scenario, own).all.ServedShare() / kRuns;
-      LoadModel<ConnectionsOnly> model(
-          scenario, own, [&] { return ConnectionsOnly(options.most); });
+      LoadModel<FixedLimit> model(scenario, own,
+                                  [&] { return FixedLimit(options.most); });
       before += model.Run().all.ServedShare() / kRuns;
     }
     CHECK_MESSAGE(learned >= before - 0.03,
--- a/testing/load_model.h
+++ b/testing/load_model.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -123,6 +124,27 @@
   }
 };
 
+/// A limit that does not change, as a rival of the one that learns. With an
+/// instance's connections it is what an instance does that counts nothing else.
+class FixedLimit {
+ public:
+  explicit FixedLimit(std::int64_t limit) : limit_(limit) {}
+  auto MayStart(Time /*now*/, bool /*urgent*/) const -> bool {
+    return in_flight_ < limit_;
+  }
+  static auto ResumesAt(Time /*now*/) -> std::optional<Time> {
+    return std::nullopt;
+  }
+  auto NoteStart() -> void { ++in_flight_; }
+  auto NoteWaiting() -> void {}
+  auto NoteAnswer(Time /*now*/, Duration /*took*/) -> void { --in_flight_; }
+  auto NoteBusy(Time /*now*/, Duration /*took*/) -> void { --in_flight_; }
+
+ private:
+  std::int64_t limit_;
+  std::int64_t in_flight_ = 0;
+};
+
 /// Runs a scenario in which each instance has one queue and one `Limit` before
 /// the member. The same scenario and seed give the same run.
 template <typename Limit>
