Links: a test that nothing stays in flight once a statement has ended

Found at the reading of the diff: the count of statements in flight had no test of its own where a connection ends, a lent connection is not used, or a transaction rests. The product code is unchanged. Seen failing with the release at a closed connection off, and with the release of an unused reservation off.

--- a/kingcuplock/gateway/link_pool_test.cc
+++ b/kingcuplock/gateway/link_pool_test.cc
@@ -177,5 +177,53 @@
   CHECK(world.reaches == std::vector{Reach::kRefused});
 }
 
+// What is not given back here would keep statements from the member for good.
+TEST_CASE(
+    "Nothing stays in flight once a statement has ended, however it did") {
+  PoolWorld world;
+  world.pool.SetLimits({.kept = 1, .most = 2});
+  world.pool.SetFlights({.slots = 1, .instances = 1, .most = 1});
+  world.pool.Start();
+  auto link = world.Opened().at(0);
+  world.Greet(link);
+  const auto lend = [&](Lending lending) {
+    REQUIRE(world.pool.MayStart(false));
+    REQUIRE(world.pool.Acquire({}, nullptr, lending) == link);
+    CHECK(world.pool.flights().in_flight() == 1);
+    CHECK_FALSE(world.pool.MayStart(false));
+  };
+  const auto run = [&](StatementKind kind) {
+    world.pool.Run(link, {.kind = kind}, [](const StatementAnswer*) {});
+  };
+  StatementAnswer done;
+
+  // Lent and never used.
+  lend(Lending::kStatement);
+  world.pool.Release(link);
+  CHECK(world.pool.flights().in_flight() == 0);
+  // Only a statement that takes no slot.
+  lend(Lending::kTransaction);
+  run(StatementKind::kBegin);
+  world.pool.OnAnswer(link, done);
+  world.pool.Release(link);
+  CHECK(world.pool.flights().in_flight() == 0);
+  // A transaction counts while a statement of it runs, not between them.
+  lend(Lending::kTransaction);
+  run(StatementKind::kRead);
+  CHECK(world.pool.flights().in_flight() == 1);
+  world.pool.OnAnswer(link, done);
+  CHECK(world.pool.flights().in_flight() == 0);
+  run(StatementKind::kCommit);
+  CHECK(world.pool.flights().in_flight() == 1);
+  world.pool.OnAnswer(link, done);
+  world.pool.Release(link);
+  CHECK(world.pool.flights().in_flight() == 0);
+  // The connection ends before the answer.
+  lend(Lending::kStatement);
+  run(StatementKind::kWrite);
+  world.pool.OnClosed(link, Reach::kRefused);
+  CHECK(world.pool.flights().in_flight() == 0);
+}
+
 }  // namespace
 }  // namespace kingcuplock
