--- a/kingcuplock/base/log.cc
+++ b/kingcuplock/base/log.cc
@@ -112,6 +112,9 @@
     {kLogLinesDropped, kWarning, "log lines dropped over their rate"},
     {kStoreCallRejected, kWarning, "store turned a call away"},
     {kStoreHistoryCompacted, kWarning, "store forgot its history, read again"},
+    {kStoreRestored, kWarning, "store restored from an older copy"},
+    {kStoreItemIgnored, kWarning, "store item ignored, not newer"},
+    {kOlderRoutesIgnored, kWarning, "route table ignored, not newer"},
 };
 
 }  // namespace
--- a/kingcuplock/base/log.h
+++ b/kingcuplock/base/log.h
@@ -82,6 +82,9 @@
   kLogLinesDropped = 744,
   kStoreCallRejected = 745,
   kStoreHistoryCompacted = 746,
+  kStoreRestored = 747,
+  kStoreItemIgnored = 748,
+  kOlderRoutesIgnored = 749,
 };
 
 /// Name and value of one field of an event.
--- a/kingcuplock/gateway/active_route_table.h
+++ b/kingcuplock/gateway/active_route_table.h
@@ -31,6 +31,12 @@
   /// log where it came from.
   auto ApplyIfNewer(const RouteTable& table, std::string_view source) -> void {
     if (table.version <= table_.version) {
+      if (table.version < table_.version && table.version > 0) {
+        log_.Log(Event::kOlderRoutesIgnored,
+                 {{"version", std::to_string(table.version)},
+                  {"known", std::to_string(table_.version)},
+                  {"source", std::string(source)}});
+      }
       return;
     }
     table_ = table;
--- a/kingcuplock/http/http_codec.cc
+++ b/kingcuplock/http/http_codec.cc
@@ -2,7 +2,9 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
 #include <cctype>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -25,6 +27,16 @@
       Of(it).current.target.append(at, n);
       return 0;
     };
+    settings.on_header_field = [](http_parser* it, const char* at,
+                                  std::size_t n) {
+      Of(it).AppendHeaderName({at, n});
+      return 0;
+    };
+    settings.on_header_value = [](http_parser* it, const char* at,
+                                  std::size_t n) {
+      Of(it).AppendHeaderValue({at, n});
+      return 0;
+    };
     settings.on_body = [](http_parser* it, const char* at, std::size_t n) {
       auto& body = Of(it).current.body;
       body.append(at, n);
@@ -40,7 +52,21 @@
     return *static_cast<State*>(it->data);
   }
 
+  // The parser reports a name or value in pieces if it spans several reads.
+  auto AppendHeaderName(std::string_view piece) -> void {
+    if (!std::exchange(in_header_name, true)) {
+      current.headers.emplace_back();
+    }
+    current.headers.back().first += piece;
+  }
+
+  auto AppendHeaderValue(std::string_view piece) -> void {
+    in_header_name = false;
+    current.headers.back().second += piece;
+  }
+
   auto Complete() -> void {
+    in_header_name = false;
     if (parser.type == HTTP_REQUEST) {
       current.method = http_method_str(static_cast<http_method>(parser.method));
     } else {
@@ -53,9 +79,25 @@
   http_parser parser{};
   http_parser_settings settings{};
   HttpMessage current;
+  /// Whether the last piece of a header belonged to its name.
+  bool in_header_name = false;
   std::deque<HttpMessage> done;
 };
 
+auto FindHeader(const HttpMessage& message, std::string_view name)
+    -> const std::string* {
+  const auto same = [](char left, char right) {
+    return std::tolower(static_cast<unsigned char>(left)) ==
+           std::tolower(static_cast<unsigned char>(right));
+  };
+  const auto it = std::find_if(
+      message.headers.begin(), message.headers.end(), [&](const auto& header) {
+        return std::equal(header.first.begin(), header.first.end(),
+                          name.begin(), name.end(), same);
+      });
+  return it == message.headers.end() ? nullptr : &it->second;
+}
+
 HttpReader::HttpReader(HttpRole side) : state_(std::make_unique<State>(side)) {}
 HttpReader::~HttpReader() = default;
 HttpReader::HttpReader(HttpReader&&) noexcept = default;
--- a/kingcuplock/http/http_codec.h
+++ b/kingcuplock/http/http_codec.h
@@ -16,24 +16,32 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace kingcuplock {
 
 /// Name and value of a header line.
 using HttpHeader = std::pair<std::string, std::string>;
 
-/// A complete request or response that was read. Its headers are not kept.
+/// A complete request or response that was read.
 struct HttpMessage {
   /// Request method and target; empty for a response.
   std::string method;
   std::string target;
   /// Response status; 0 for a request.
   int status = 0;
+  /// In order of arrival, names as sent.
+  std::vector<HttpHeader> headers;
   std::string body;
   /// Whether the connection may be used for another message.
   bool keep_alive = true;
 };
 
+/// Returns the value of the first header named `name`, whose case does not
+/// matter; nullptr if there is none. Valid as long as `message`.
+auto FindHeader(const HttpMessage& message, std::string_view name)
+    -> const std::string*;
+
 /// Side of the connection that a reader is on. On the server's side it reads
 /// requests, on the client's side responses.
 enum class HttpRole { kServer, kClient };
