Tests: a restored store, failing on the current code; the stand-in can be restored

KeyValueStore::Restore() and StoreCopies play it: revisions and lease ids are given out again, watches end, the era rises. Answers and events carry the era.

--- /dev/null
+++ b/kingcuplock/gateway/gateway_restored_store_test.cc
@@ -0,0 +1,56 @@
+// Gateways whose store is restored from an older copy.
+
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "testing/gateway_fixture.h"
+
+namespace kingcuplock {
+namespace {
+
+TEST_SUITE_BEGIN("restored_store");
+
+/// Longest time in ms until a change of the routes is in force on every
+/// gateway, from its acknowledgement by the store.
+constexpr Milliseconds kRoutesBound{3000};
+
+/// Returns whether the routes of `version` are in force on every gateway.
+auto AllUse(GatewayFixture& fixture, std::size_t gateways, std::int64_t version)
+    -> bool {
+  for (std::size_t n = 0; n < gateways; ++n) {
+    if (fixture.gateway(n).Gauges().routes_version != version) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// Guards against routes that never come into force: the restored store gives
+// their revision out a second time.
+TEST_CASE("A change after the store was restored comes into force") {
+  for (const auto age : {600, 1100, 1600, 2600}) {
+    CAPTURE(age);
+    GatewayFixture fixture({.gateways = 3});
+    fixture.RunFor(Milliseconds(1000));
+    for (const auto version : {2, 4, 5}) {
+      fixture.ChangeRoutes(version, 0);
+      fixture.RunFor(Milliseconds(500));
+    }
+    REQUIRE(AllUse(fixture, 3, 5));
+    fixture.SetStoreUp(false);
+    fixture.RunFor(Milliseconds(300));
+    fixture.RestoreStore(Milliseconds(age), Milliseconds(200));
+    fixture.SetStoreUp(true);
+    fixture.RunFor(Milliseconds(1000));
+    CHECK(AllUse(fixture, 3, 5));
+    fixture.ChangeRoutes(8, 1);
+    fixture.RunFor(kRoutesBound);
+    CHECK(AllUse(fixture, 3, 8));
+  }
+}
+
+TEST_SUITE_END();
+
+}  // namespace
+}  // namespace kingcuplock
--- a/kingcuplock/http/http_codec.cc
+++ b/kingcuplock/http/http_codec.cc
@@ -142,10 +142,17 @@
 
 auto FormatHttpResponse(int status,
                         std::string_view content_type,
-                        std::string_view body) -> std::string {
-  return fmt::format(
-      "HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n\r\n{}",
-      status, ReasonPhrase(status), content_type, body.size(), body);
+                        std::string_view body,
+                        std::span<const HttpHeader> headers) -> std::string {
+  auto out = fmt::format(
+      "HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n", status,
+      ReasonPhrase(status), content_type, body.size());
+  for (const auto& [name, value] : headers) {
+    out += fmt::format("{}: {}\r\n", name, value);
+  }
+  out += "\r\n";
+  out += body;
+  return out;
 }
 
 auto PercentEncodeQuery(std::string_view text) -> std::string {
--- a/kingcuplock/http/http_codec.h
+++ b/kingcuplock/http/http_codec.h
@@ -79,10 +79,12 @@
                        std::string_view body) -> std::string;
 
 /// Returns the bytes of a response with the headers Content-Type and
-/// Content-Length.
+/// Content-Length, and `headers`.
 auto FormatHttpResponse(int status,
                         std::string_view content_type,
-                        std::string_view body) -> std::string;
+                        std::string_view body,
+                        std::span<const HttpHeader> headers = {})
+    -> std::string;
 
 /// Returns `text` for use in the query of a URL: every byte except letters,
 /// digits and "-._~/" is percent-encoded.
--- a/kingcuplock/schema/messages.cc
+++ b/kingcuplock/schema/messages.cc
@@ -937,6 +937,7 @@
   out["status"] = value.status;
   internal::WriteOptional(out, "lease", value.lease, kDefaults.lease);
   internal::WriteOptional(out, "items", value.items, kDefaults.items);
+  internal::WriteOptional(out, "era", value.era, kDefaults.era);
 }
 
 void from_json(const nlohmann::json& in, StoreAnswer& value) {
@@ -945,6 +946,7 @@
   internal::ReadRequired(in, "status", value.status);
   internal::ReadOptional(in, "lease", value.lease);
   internal::ReadOptional(in, "items", value.items);
+  internal::ReadOptional(in, "era", value.era);
 }
 
 void to_json(nlohmann::json& out, const StoreEvent& value) {
@@ -953,12 +955,14 @@
   static const StoreEvent kDefaults;
   out["item"] = value.item;
   internal::WriteOptional(out, "deleted", value.deleted, kDefaults.deleted);
+  internal::WriteOptional(out, "era", value.era, kDefaults.era);
 }
 
 void from_json(const nlohmann::json& in, StoreEvent& value) {
   internal::RequireObject(in, "StoreEvent");
   internal::ReadRequired(in, "item", value.item);
   internal::ReadOptional(in, "deleted", value.deleted);
+  internal::ReadOptional(in, "era", value.era);
 }
 
 namespace {
--- a/kingcuplock/schema/messages.h
+++ b/kingcuplock/schema/messages.h
@@ -1011,6 +1011,10 @@
   std::int64_t lease{};
   /// Items read, or the current item on a conflict.
   std::vector<StoreItem> items{};
+  /// Rises by one each time the service is restored from an older copy of its
+  /// data; 0 before the first time, or if the service does not tell. Versions
+  /// and leases of one era say nothing in another.
+  std::int64_t era{};
 
   auto operator==(const StoreAnswer&) const -> bool = default;
 };
@@ -1028,6 +1032,8 @@
   StoreItem item{};
   /// Whether the key was removed.
   bool deleted{};
+  /// As in StoreAnswer.
+  std::int64_t era{};
 
   auto operator==(const StoreEvent&) const -> bool = default;
 };
--- a/standin/store/key_value_store.cc
+++ b/standin/store/key_value_store.cc
@@ -17,6 +17,13 @@
 auto KeyValueStore::Handle(const StoreCall& call, std::int64_t now_ms)
     -> StoreAnswer {
   ExpireDueLeases(now_ms);
+  auto answer = Perform(call, now_ms);
+  answer.era = era_;
+  return answer;
+}
+
+auto KeyValueStore::Perform(const StoreCall& call, std::int64_t now_ms)
+    -> StoreAnswer {
   switch (call.op) {
     case StoreOp::kGet:
       return Get(call);
@@ -110,6 +117,22 @@
   Write(key, value, 0);
 }
 
+auto KeyValueStore::TakeCopy(std::int64_t now_ms) const -> Copy {
+  return {values_, leases_, revision_, last_lease_, now_ms};
+}
+
+void KeyValueStore::Restore(const Copy& copy, std::int64_t now_ms) {
+  values_ = copy.values;
+  leases_ = copy.leases;
+  for (auto& [id, lease] : leases_) {
+    lease.expires_ms += now_ms - copy.taken_ms;
+  }
+  revision_ = copy.revision;
+  last_lease_ = copy.last_lease;
+  events_.clear();
+  ++era_;
+}
+
 auto KeyValueStore::TakeEvents() -> std::vector<StoreEvent> {
   return std::exchange(events_, {});
 }
@@ -128,7 +151,7 @@
                           const std::string& text,
                           std::int64_t lease) {
   values_[key] = {text, ++revision_, lease};
-  events_.push_back({{key, text, revision_}, false});
+  events_.push_back({{key, text, revision_}, false, era_});
 }
 
 void KeyValueStore::EndLease(std::int64_t lease) {
@@ -140,7 +163,7 @@
       ++it;
       continue;
     }
-    events_.push_back({{it->first, "", ++revision_}, true});
+    events_.push_back({{it->first, "", ++revision_}, true, era_});
     it = values_.erase(it);
   }
 }
--- a/standin/store/key_value_store.h
+++ b/standin/store/key_value_store.h
@@ -38,6 +38,20 @@
   /// Returns the changes since the last call, in order.
   auto TakeEvents() -> std::vector<StoreEvent>;
 
+  /// Data of the store at one moment.
+  struct Copy;
+
+  /// Returns a copy of all data, for Restore().
+  auto TakeCopy(std::int64_t now_ms) const -> Copy;
+
+  /// Replaces all data by an older copy, as after the loss of a disk: what was
+  /// written since is lost, revisions and lease ids are given out again, and
+  /// the era rises by one. Leases of the copy keep the time left that they had.
+  void Restore(const Copy& copy, std::int64_t now_ms);
+
+  /// Returns how often the store was restored.
+  auto era() const -> std::int64_t { return era_; }
+
   /// Returns the items of all keys that start with `prefix`, ordered by key.
   auto Range(const std::string& prefix) const -> std::vector<StoreItem>;
 
@@ -52,6 +66,7 @@
     std::int64_t expires_ms = 0;
   };
 
+  auto Perform(const StoreCall& call, std::int64_t now_ms) -> StoreAnswer;
   auto Get(const StoreCall& call) const -> StoreAnswer;
   auto CompareAndSwap(const StoreCall& call) -> StoreAnswer;
   auto GrantLease(const StoreCall& call, std::int64_t now_ms) -> StoreAnswer;
@@ -66,6 +81,16 @@
   std::vector<StoreEvent> events_;
   std::int64_t revision_ = 0;
   std::int64_t last_lease_ = 0;
+  std::int64_t era_ = 0;
+};
+
+struct KeyValueStore::Copy {
+  std::map<std::string, Value> values;
+  std::map<std::int64_t, Lease> leases;
+  std::int64_t revision = 0;
+  std::int64_t last_lease = 0;
+  /// When the copy was taken, on the clock of Handle().
+  std::int64_t taken_ms = 0;
 };
 
 }  // namespace kingcuplock
--- a/testing/gateway_fixture.cc
+++ b/testing/gateway_fixture.cc
@@ -59,7 +59,8 @@
     add(fmt::format("db-{}", n), ReadMode::kBounded);
   }
   table.groups.push_back({"g0", options_.group.connections, 0});
-  store_.Put(std::string(kRoutesKey), EncodeJson(table, FrameFormat::kJson));
+  newest_routes_ = EncodeJson(table, FrameFormat::kJson);
+  store_.Put(std::string(kRoutesKey), newest_routes_);
 }
 
 // ------------------------------------------------------------------- time
@@ -70,7 +71,8 @@
     const auto now = timers_.Now() + kTimeStep;
     timers_.AdvanceTo(now);
     PublishEndpoints();
-    store_.ExpireDueLeases(now.time_since_epoch() / Milliseconds(1));
+    store_copies_.TakeIfDue(store_, NowMs());
+    store_.ExpireDueLeases(NowMs());
     PushStoreEvents();
     for (std::size_t n = 0; n < nodes_.size(); ++n) {
       if (nodes_[n]->up && !nodes_[n]->frozen) {
@@ -142,7 +144,7 @@
   StoreCall call;
   call.op = StoreOp::kLeaseRevoke;
   call.lease = it.lease;
-  store_.Handle(call, timers_.Now().time_since_epoch() / Milliseconds(1));
+  store_.Handle(call, NowMs());
   PushStoreEvents();
 }
 
@@ -154,8 +156,7 @@
   StoreCall call;
   call.op = StoreOp::kGet;
   call.key = "kingcuplock/owner/g0";
-  const auto answer =
-      store_.Handle(call, timers_.Now().time_since_epoch() / Milliseconds(1));
+  const auto answer = store_.Handle(call, NowMs());
   const auto record = DecodeFrame(answer.items.at(0).value, FrameFormat::kJson)
                           .get<OwnerRecord>();
   return std::stoul(record.owner.substr(std::string("gw-").size()));
--- a/testing/gateway_fixture.h
+++ b/testing/gateway_fixture.h
@@ -32,6 +32,7 @@
 #include "kingcuplock/statement/statement.h"
 #include "standin/statements/statement_group.h"
 #include "standin/store/key_value_store.h"
+#include "standin/store/store_copies.h"
 
 namespace kingcuplock {
 
@@ -133,6 +134,10 @@
   auto CountRouteOffers() const -> std::size_t { return route_offer_count_; }
   /// While the store is down, it handles no calls, and watch events are lost.
   auto SetStoreUp(bool up) -> void { store_up_ = up; }
+  /// Restores the store from its copy of about `age` ago. Watches end without a
+  /// word. Operator and members write again what they wrote since, within
+  /// `rewritten_after`.
+  auto RestoreStore(Duration age, Duration rewritten_after) -> void;
   /// Marks a member as leaving in its endpoint entry.
   auto SetMemberLeaving(const std::string& member) -> void;
   /// Writes the entry of the member `unregistered_member` to the store.
@@ -260,6 +265,10 @@
   auto OnPromotionOrder(std::size_t node, const OrderPromotion& order) -> void;
   auto OnAnswer(const AnswerClient& answer, std::size_t node) -> void;
   auto DropLink(std::size_t node, ConnectionId link, Reach reason) -> void;
+  /// Returns the time of the store, in ms.
+  auto NowMs() const -> std::int64_t {
+    return timers_.Now().time_since_epoch() / Milliseconds(1);
+  }
   auto PublishEndpoint(const std::string& member) -> void;
   auto PublishEndpoints() -> void;
 
@@ -280,6 +289,10 @@
   bool lose_demotions_ = false;
   std::set<std::pair<std::size_t, std::size_t>> peer_partitions_;
   std::map<std::string, std::string> published_endpoints_;
+  /// No endpoint entry is written before this time.
+  Time members_write_again_at_{};
+  std::string newest_routes_;
+  StoreCopies store_copies_;
   int internal_statement_count_ = 0;
   std::size_t group_report_count_ = 0;
   std::size_t route_offer_count_ = 0;
--- a/testing/gateway_fixture_actions.cc
+++ b/testing/gateway_fixture_actions.cc
@@ -78,8 +78,7 @@
     if (call.op == StoreOp::kLeaseRenew) {
       it.lease = call.lease;
     }
-    const auto answer =
-        store_.Handle(call, timers_.Now().time_since_epoch() / Milliseconds(1));
+    const auto answer = store_.Handle(call, NowMs());
     if (call.op == StoreOp::kWatch && it.up) {
       it.watched_prefixes.push_back(call.key);
     }
@@ -93,6 +92,21 @@
   });
 }
 
+auto GatewayFixture::RestoreStore(Duration age, Duration rewritten_after)
+    -> void {
+  store_copies_.Restore(store_, NowMs(), age / Milliseconds(1));
+  for (const auto& it : nodes_) {
+    it->watched_prefixes.clear();
+  }
+  published_endpoints_.clear();
+  members_write_again_at_ = timers_.Now() + rewritten_after;
+  timers_.After(rewritten_after, [this, era = store_.era()] {
+    if (era == store_.era()) {
+      store_.Put(std::string(kRoutesKey), newest_routes_);
+    }
+  });
+}
+
 auto GatewayFixture::PushStoreEvents() -> void {
   for (const auto& event : store_.TakeEvents()) {
     for (std::size_t n = 0; n < nodes_.size(); ++n) {
@@ -348,6 +362,9 @@
 }
 
 auto GatewayFixture::PublishEndpoints() -> void {
+  if (timers_.Now() < members_write_again_at_) {
+    return;
+  }
   for (const auto& it : group_.members()) {
     if (group_.IsUp(it) && it != options_.unregistered_member) {
       PublishEndpoint(it);
