Store client: items of a restored store replace those known before

Cause: the client keeps the newest version of each key to order the answer to a watch against pushed changes, and compared versions across a restore.

Evidence: gateway_restored_store, which has no adapter, failed for every age of the copy (routes version 8 not in force after 3 s).

Fix: the first reply of a higher era discards the versions, ends pending calls without an answer (what they were based on is gone), tells subscribers and sets up the watches anew; replies of an earlier era are ignored. Why it works: each watch then delivers its full present content, including the absence of keys.

--- a/kingcuplock/store_client/store_client.cc
+++ b/kingcuplock/store_client/store_client.cc
@@ -34,6 +34,57 @@
                              address_.port, kConnectTimeoutMs);
 }
 
+void StoreClient::SubscribeToNewEra(std::function<void()> callback) {
+  era_subscribers_.push_back(std::move(callback));
+}
+
+void StoreClient::BeginNewEra() {
+  era_ = 0;
+  era_known_since_.reset();
+  DiscardVersions();
+}
+
+// Returns false if the reply is from an earlier era than the latest.
+auto StoreClient::NoteEra(const StoreReply& reply) -> bool {
+  const auto era = std::visit([](const auto& it) { return it.era; }, reply);
+  if (era < era_) {
+    return false;
+  }
+  const auto is_new = era > era_ && era_known_since_;
+  era_ = era;
+  if (!era_known_since_ || is_new) {
+    era_known_since_ = timers_.Now();
+  }
+  if (is_new) {
+    DiscardVersions();
+  }
+  return true;
+}
+
+// Subscribers come first, so that the callbacks of ended calls find them in the
+// new era.
+void StoreClient::DiscardVersions() {
+  ++era_change_count_;
+  for (auto& watch : watches_) {
+    for (auto& [key, version] : watch.versions) {
+      version = 0;
+    }
+  }
+  auto ended = std::exchange(calls_, {});
+  for (const auto& it : era_subscribers_) {
+    it();
+  }
+  for (auto& [id, call] : ended) {
+    timers_.Cancel(call.timer);
+    call.callback(nullptr);
+  }
+  if (open_) {
+    for (std::size_t n = 0; n < watches_.size(); ++n) {
+      SendWatch(n);
+    }
+  }
+}
+
 void StoreClient::Call(StoreCall call, Callback callback) {
   call.id = ++last_call_id_;
   const auto id = call.id;
@@ -50,13 +101,16 @@
 }
 
 void StoreClient::Watch(std::string prefix, WatchCallback callback) {
-  watches_.push_back({std::move(prefix), std::move(callback), {}});
+  watches_.push_back({std::move(prefix), std::move(callback), false, {}});
   if (open_) {
     SendWatch(watches_.size() - 1);
   }
 }
 
 void StoreClient::SendWatch(std::size_t index) {
+  if (std::exchange(watches_[index].pending, true)) {
+    return;
+  }
   StoreCall call;
   call.op = StoreOp::kWatch;
   call.key = watches_[index].prefix;
@@ -66,6 +120,7 @@
 }
 
 void StoreClient::OnWatchAnswer(std::size_t index, const StoreAnswer* answer) {
+  watches_[index].pending = false;
   if (answer == nullptr) {
     if (open_) {
       SendWatch(index);
@@ -134,6 +189,9 @@
     return false;
   }
   last_heard_ = timers_.Now();
+  if (!NoteEra(reply)) {
+    return true;
+  }
   const auto* answer = std::get_if<StoreAnswer>(&reply);
   const auto rejected =
       answer != nullptr && answer->status == StoreStatus::kUnavailable;
