Ownership: nothing of a restored store proves who owns, and epochs are not given out twice

Cause: the ownership record, its version and its lease were compared with those from before a restore. The record goes back to an older epoch, term and owner; a lease key that is missing counted as a proof that its owner's lease had ended; a write that was repeated after a lost answer could match a version given out again.

Fix: when the client reports a new era, every ownership and the lease end; unanswered writes are abandoned. Epochs of an era are above all earlier ones. A record of an earlier era tells neither term nor primary nor predecessor. Whoever owned with a valid lease until it learned of the restore continues at once, as it knows that nobody else does; others wait for the length of a lease from their first answer of the new era, unless owners are fenced by their epoch. Gateway and daemon share it.

Why it works: an owner that has not heard of the restore renewed before it, so its lease is over when the others begin; the token order needs no memory of what was lost.

--- a/kingcuplock/gateway/gateway.cc
+++ b/kingcuplock/gateway/gateway.cc
@@ -47,6 +47,8 @@
       duty_ownership_(
           names_,
           settings_.timing,
+          settings_.promotions_fenced ? OwnerExclusion::kEpoch
+                                      : OwnerExclusion::kLease,
           timers,
           store_,
           shell,
--- a/kingcuplock/gateway/gateway_schedules_test.cc
+++ b/kingcuplock/gateway/gateway_schedules_test.cc
@@ -13,16 +13,21 @@
 namespace kingcuplock {
 namespace {
 
-/// Number of seeds per test; the environment variable `KINGCUPLOCK_SCHEDULES`
-/// overrides it.
+/// Number of seeds per test, beginning with 1. The environment variables
+/// `KINGCUPLOCK_SCHEDULES` and `KINGCUPLOCK_FIRST_SCHEDULE` override the last
+/// and the first seed.
 constexpr int kSeedCount = 120;
 
+/// Whether the store keeps its data, or is restored from older copies.
+enum class StoreFaults { kKeepsData, kRestores };
+
 /// One random run, determined by its seed.
 class Schedule {
  public:
-  explicit Schedule(std::uint64_t seed, bool fenced = true)
+  Schedule(std::uint64_t seed, bool fenced, StoreFaults store_faults)
       : random_(seed),
         fenced_(fenced),
+        store_faults_(store_faults),
         world_({.seed = seed,
                 .gateways = 3,
                 .group = {.apply_lag = Milliseconds(RandomInt(5, 300)),
@@ -110,7 +115,20 @@
     }
   }
 
+  auto RestoreStore() -> void {
+    const auto down_ms = RandomInt(0, 2) * RandomInt(1, 900);
+    world_.SetStoreUp(down_ms == 0);
+    world_.RunFor(Milliseconds(down_ms));
+    world_.RestoreStore(Milliseconds(RandomInt(50, 9000)),
+                        Milliseconds(RandomInt(0, 2000)));
+    world_.SetStoreUp(true);
+  }
+
   auto InjectRandomFault() -> void {
+    if (store_faults_ == StoreFaults::kRestores && RandomInt(0, 3) == 0) {
+      RestoreStore();
+      return;
+    }
     const auto member = fmt::format("m{}", RandomInt(1, 3));
     const auto gateway = static_cast<std::size_t>(RandomInt(0, 2));
     switch (RandomInt(0, fenced_ ? 8 : 14)) {
@@ -187,24 +205,30 @@
 
   std::mt19937_64 random_;
   bool fenced_;
+  StoreFaults store_faults_;
   GatewayFixture world_;
   std::vector<RandomClient> clients_;
   int last_statement_id_ = 0;
 };
 
-auto RunSchedules(bool fenced) -> void {
-  const auto* text = std::getenv("KINGCUPLOCK_SCHEDULES");
-  const auto seeds = text == nullptr ? kSeedCount : std::stoi(text);
+auto RunSchedules(bool fenced,
+                  StoreFaults store_faults = StoreFaults::kKeepsData) -> void {
+  const auto read_number = [](const char* name, int otherwise) {
+    const auto* text = std::getenv(name);
+    return text == nullptr ? otherwise : std::stoi(text);
+  };
+  const auto last = read_number("KINGCUPLOCK_SCHEDULES", kSeedCount);
+  const auto first = read_number("KINGCUPLOCK_FIRST_SCHEDULE", 1);
   std::size_t ok = 0;
-  for (auto seed = 1; seed <= seeds; ++seed) {
-    Schedule schedule(static_cast<std::uint64_t>(seed), fenced);
+  for (auto seed = first; seed <= last; ++seed) {
+    Schedule schedule(static_cast<std::uint64_t>(seed), fenced, store_faults);
     const auto broken = schedule.Run();
     CHECK_MESSAGE(broken.empty(), "seed " << seed << ": "
                                           << (broken.empty() ? "" : broken[0])
                                           << " and " << broken.size());
     ok += schedule.CountSuccessfulStatements();
   }
-  CHECK(ok > static_cast<std::size_t>(seeds) * 40);
+  CHECK(ok > static_cast<std::size_t>(last - first + 1) * 40);
 }
 
 TEST_CASE("Guarantees hold under random faults") {
@@ -215,5 +239,19 @@
   RunSchedules(false);
 }
 
+TEST_SUITE_BEGIN("restored_store");
+
+// Guards against all that is kept from a store beyond its restore: duties and
+// their tokens, leases, members' entries, routes.
+TEST_CASE("Guarantees hold while the store is restored") {
+  RunSchedules(true, StoreFaults::kRestores);
+}
+
+TEST_CASE("Guarantees hold without fencing while the store is restored") {
+  RunSchedules(false, StoreFaults::kRestores);
+}
+
+TEST_SUITE_END();
+
 }  // namespace
 }  // namespace kingcuplock
--- a/kingcuplock/node/node.cc
+++ b/kingcuplock/node/node.cc
@@ -57,6 +57,7 @@
       ownership_(
           names_,
           settings_.timing,
+          OwnerExclusion::kLease,
           timers,
           store_,
           outbox,
--- a/kingcuplock/ownership/lease_keeper.cc
+++ b/kingcuplock/ownership/lease_keeper.cc
@@ -23,6 +23,14 @@
   RenewPeriodically();
 }
 
+void LeaseKeeper::Restart() {
+  if (lease_ != 0) {
+    outbox_.Log(Event::kLeaseLapsed, {{"lease", std::to_string(lease_)}});
+  }
+  lease_ = 0;
+  RequestLease();
+}
+
 void LeaseKeeper::Stop() {
   stopped_ = true;
   if (lease_ == 0) {
@@ -42,8 +50,11 @@
   call.op = StoreOp::kLeaseGrant;
   call.ttl_ms = timing_.lease_ttl_ms;
   const auto sent = timers_.Now();
-  store_.Call(std::move(call), [this, sent](const StoreAnswer* answer) {
-    OnLeaseGranted(sent, answer);
+  store_.Call(std::move(call), [this, sent, request = ++last_request_](
+                                   const StoreAnswer* answer) {
+    if (request == last_request_) {
+      OnLeaseGranted(sent, answer);
+    }
   });
 }
 
@@ -62,7 +73,11 @@
   call.value =
       names_.registration.empty() ? names_.instance : names_.registration;
   call.lease = lease;
-  store_.Call(std::move(call), [this, sent, lease](const StoreAnswer* answer) {
+  store_.Call(std::move(call), [this, sent, lease, request = last_request_](
+                                   const StoreAnswer* answer) {
+    if (request != last_request_) {
+      return;
+    }
     if (answer == nullptr || answer->status != StoreStatus::kDone) {
       RetryLeaseRequest();
       return;
@@ -77,7 +92,11 @@
 
 void LeaseKeeper::RetryLeaseRequest() {
   timers_.After(Milliseconds(timing_.lease_renew_ms),
-                [this] { RequestLease(); });
+                [this, request = last_request_] {
+                  if (request == last_request_) {
+                    RequestLease();
+                  }
+                });
 }
 
 void LeaseKeeper::RenewPeriodically() {
--- a/kingcuplock/ownership/lease_keeper.h
+++ b/kingcuplock/ownership/lease_keeper.h
@@ -56,6 +56,11 @@
   /// expires.
   void Start();
 
+  /// Drops the lease without revoking it, and requests another one, because the
+  /// store was restored: the id may belong to another instance now. Does not
+  /// call `on_lease_changed` for the dropped lease.
+  void Restart();
+
   /// Stops renewing the lease and revokes it. Does not call `on_lease_changed`.
   void Stop();
 
@@ -93,6 +98,8 @@
   std::int64_t lease_ = 0;
   Time valid_until_{};
   bool stopped_ = false;
+  /// Number of the newest request for a lease; older ones are ignored.
+  std::uint64_t last_request_ = 0;
 };
 
 }  // namespace kingcuplock
--- a/kingcuplock/ownership/ownership_keeper.cc
+++ b/kingcuplock/ownership/ownership_keeper.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <utility>
 
+#include "kingcuplock/ownership/era_epochs.h"
 #include "kingcuplock/routing/rendezvous.h"
 #include "kingcuplock/schema/codec.h"
 
@@ -33,12 +34,14 @@
 
 OwnershipKeeper::OwnershipKeeper(InstanceNames names,
                                  TimingSettings timing,
+                                 OwnerExclusion exclusion,
                                  TimerService& timers,
                                  StoreClient& store,
                                  Outbox& outbox,
                                  OwnershipCallbacks callbacks)
     : names_(names),
       timing_(timing),
+      exclusion_(exclusion),
       timers_(timers),
       store_(store),
       outbox_(outbox),
@@ -51,6 +54,7 @@
              [this](std::int64_t lease) { OnOwnLeaseChanged(lease); }) {}
 
 void OwnershipKeeper::Start() {
+  store_.SubscribeToNewEra([this] { OnNewEra(); });
   store_.Watch(names_.key_prefix + "lease/",
                [this](const StoreItem& item, bool deleted) {
                  OnLeaseKeyChanged(item, deleted);
@@ -106,7 +110,8 @@
     entry.vacant_since.reset();
     return;
   }
-  if (entry.writing || entry.verifying || !MayTakeOver(entry)) {
+  if (entry.writing || entry.verifying || !MayTakeOver(entry) ||
+      MayHaveUnknownOwner(entry)) {
     entry.vacant_since.reset();
     return;
   }
@@ -120,8 +125,29 @@
   }
 }
 
+// Returns whether the record was written before the store was last restored, so
+// that a later owner may be missing.
+auto OwnershipKeeper::IsOfEarlierEra(const OwnerRecord& record) const -> bool {
+  return record.epoch < FirstEpochOf(store_.era());
+}
+
+// Returns whether an owner that the restored store does not show may still rely
+// on its lease, which it renewed for the last time before the restore.
+auto OwnershipKeeper::MayHaveUnknownOwner(const Entry& entry) const -> bool {
+  const auto never_restored =
+      store_.era() == 0 && store_.era_change_count() == 0;
+  const auto is_current = entry.record && !IsOfEarlierEra(*entry.record);
+  if (exclusion_ == OwnerExclusion::kEpoch || never_restored || is_current ||
+      entry.record_before_restore) {
+    return false;
+  }
+  const auto since = store_.era_known_since();
+  return !since || timers_.Now() < *since + Milliseconds(timing_.lease_ttl_ms);
+}
+
 auto OwnershipKeeper::IsVacant(const Entry& entry) const -> bool {
-  if (!entry.record || entry.record->phase == Phase::kReleased) {
+  if (!entry.record || entry.record->phase == Phase::kReleased ||
+      IsOfEarlierEra(*entry.record)) {
     return true;
   }
   return !existing_leases_.contains(entry.record->lease);
@@ -146,7 +172,8 @@
 auto OwnershipKeeper::IsOwnedUnder(const Entry& entry,
                                    const OwnerRecord& record) const -> bool {
   return record.owner == names_.instance && record.lease == lease_.lease() &&
-         lease_.lease() != 0 && record.epoch >= entry.least_epoch;
+         lease_.lease() != 0 && record.epoch >= entry.least_epoch &&
+         !IsOfEarlierEra(record);
 }
 
 auto OwnershipKeeper::MayTakeOver(const Entry& entry) const -> bool {
@@ -169,7 +196,8 @@
 void OwnershipKeeper::VerifyVacancy(const std::string& database) {
   auto& entry = entries_.at(database);
   if (!entry.record || entry.record->phase == Phase::kReleased ||
-      IsOrphaned(entry) || IsOfEarlierRun(entry)) {
+      IsOfEarlierEra(*entry.record) || IsOrphaned(entry) ||
+      IsOfEarlierRun(entry)) {
     TakeOver(database);
     return;
   }
@@ -205,6 +233,14 @@
 void OwnershipKeeper::TakeOver(const std::string& database) {
   auto& entry = entries_.at(database);
   OwnerRecord next = entry.record.value_or(OwnerRecord{});
+  if (entry.record_before_restore) {
+    next = *entry.record_before_restore;
+  } else if (IsOfEarlierEra(next)) {
+    // Terms, primaries and owners may have changed since.
+    const auto epoch = next.epoch;
+    next = OwnerRecord{};
+    next.epoch = epoch;
+  }
   if (next.phase == Phase::kReleased) {
     next.previous.clear();
   } else if (next.owner != names_.instance) {
@@ -212,7 +248,8 @@
     // before its own predecessor did, so `previous` keeps that predecessor.
     next.previous = next.owner;
   }
-  next.epoch = std::max(next.epoch + 1, entry.least_epoch);
+  next.epoch =
+      std::max({next.epoch + 1, entry.least_epoch, FirstEpochOf(store_.era())});
   next.owner = names_.instance;
   next.lease = lease_.lease();
   if (next.phase == Phase::kReleased) {
@@ -346,35 +383,38 @@
   auto& entry = entries_.at(database);
   entry.writing = true;
   record.attempt = NextAttemptId();
-  SendSwap(database, record, entry.version, callback);
+  SendSwap({database, std::move(record), entry.version,
+            store_.era_change_count(), std::move(callback)});
 }
 
-void OwnershipKeeper::SendSwap(const std::string& database,
-                               const OwnerRecord& record,
-                               std::int64_t expected,
-                               const WriteCallback& callback) {
+void OwnershipKeeper::SendSwap(const Swap& swap) {
   StoreCall call;
   call.op = StoreOp::kCompareAndSwap;
-  call.key = RecordKey(database);
-  call.value = EncodeJson(record, FrameFormat::kJson);
-  call.expected_version = expected;
-  store_.Call(std::move(call), [=, this](const StoreAnswer* answer) {
-    OnSwapAnswer(database, record, expected, callback, answer);
+  call.key = RecordKey(swap.database);
+  call.value = EncodeJson(swap.record, FrameFormat::kJson);
+  call.expected_version = swap.expected_version;
+  store_.Call(std::move(call), [this, swap](const StoreAnswer* answer) {
+    OnSwapAnswer(swap, answer);
   });
 }
 
-void OwnershipKeeper::OnSwapAnswer(const std::string& database,
-                                   const OwnerRecord& record,
-                                   std::int64_t expected,
-                                   const WriteCallback& callback,
+void OwnershipKeeper::OnSwapAnswer(const Swap& swap,
                                    const StoreAnswer* answer) {
-  auto& entry = entries_.at(database);
+  if (swap.era_change_count != store_.era_change_count()) {
+    AbandonSwap(swap);
+    return;
+  }
+  auto& entry = entries_.at(swap.database);
   if (answer == nullptr) {
     // Repeating the same swap is safe and yields a definite outcome: it is
     // applied at most once, and a conflict returns the record with the id of
     // the attempt that was applied.
-    timers_.After(Milliseconds(kRewriteMs), [=, this] {
-      SendSwap(database, record, expected, callback);
+    timers_.After(Milliseconds(kRewriteMs), [this, swap] {
+      if (swap.era_change_count == store_.era_change_count()) {
+        SendSwap(swap);
+      } else {
+        AbandonSwap(swap);
+      }
     });
     return;
   }
@@ -383,17 +423,27 @@
                            ? std::nullopt
                            : ParseRecord(answer->items.front().value);
   if (!answer->items.empty()) {
-    entry.version = answer->items.front().version;
-    entry.record = current;
+    SetRecord(entry, answer->items.front().version, current);
   }
-  const auto written = current && current->attempt == record.attempt;
-  ApplySwapOutcome(database, record, written);
-  callback(written);
+  const auto written = current && current->attempt == swap.record.attempt;
+  ApplySwapOutcome(swap.database, swap.record, written);
+  swap.callback(written);
   if (current) {
-    callbacks_.on_record_changed(database, *current);
+    callbacks_.on_record_changed(swap.database, *current);
   }
-  HandleDeferredRecord(database);
-  ReevaluateTakeover(database);
+  HandleDeferredRecord(swap.database);
+  ReevaluateTakeover(swap.database);
+}
+
+// The expected version may belong to another record by now, so the swap is not
+// repeated. The watch delivers what became of it.
+void OwnershipKeeper::AbandonSwap(const Swap& swap) {
+  auto& entry = entries_.at(swap.database);
+  entry.writing = false;
+  EndOwnership(swap.database, entry);
+  swap.callback(false);
+  HandleDeferredRecord(swap.database);
+  ReevaluateTakeover(swap.database);
 }
 
 void OwnershipKeeper::ApplySwapOutcome(const std::string& database,
@@ -439,11 +489,49 @@
   }
 }
 
+void OwnershipKeeper::SetRecord(Entry& entry,
+                                std::int64_t version,
+                                std::optional<OwnerRecord> record) {
+  entry.version = version;
+  entry.record = std::move(record);
+  if (entry.record && !IsOfEarlierEra(*entry.record)) {
+    entry.record_before_restore.reset();
+  }
+}
+
+void OwnershipKeeper::OnNewEra() {
+  const auto lease_was_valid = lease_.IsValid();
+  existing_leases_.clear();
+  for (auto& [name, entry] : entries_) {
+    if (entry.record) {
+      entry.least_epoch = std::max(entry.least_epoch, entry.record->epoch + 1);
+    }
+    entry.record_before_restore =
+        entry.owned && lease_was_valid ? entry.record : std::nullopt;
+    entry.version = 0;
+    entry.record.reset();
+    entry.deferred.reset();
+    entry.vacant_since.reset();
+    EndOwnership(name, entry);
+    candidates_.insert(name);
+  }
+  lease_.Restart();
+}
+
 void OwnershipKeeper::OnRecordChanged(const StoreItem& item, bool deleted) {
   const auto database =
       item.key.substr(names_.key_prefix.size() + std::string("owner/").size());
   auto& entry = entries_[database];
-  if (deleted || item.version <= entry.version) {
+  if (item.version <= entry.version) {
+    return;
+  }
+  if (deleted) {
+    // An unanswered write ends with a conflict.
+    if (!entry.writing) {
+      SetRecord(entry, 0, std::nullopt);
+      EndOwnership(database, entry);
+      ReevaluateTakeover(database);
+    }
     return;
   }
   const auto record = ParseRecord(item.value);
@@ -455,8 +543,7 @@
     callbacks_.on_record_changed(database, *record);
     return;
   }
-  entry.version = item.version;
-  entry.record = record;
+  SetRecord(entry, item.version, record);
   if (!IsOwnedUnder(entry, *record)) {
     EndOwnership(database, entry);
   } else if (!entry.owned) {
--- a/kingcuplock/ownership/ownership_keeper.h
+++ b/kingcuplock/ownership/ownership_keeper.h
@@ -5,6 +5,12 @@
 /// compare-and-swap, and the database is vacant, free for another owner, once
 /// the lease that the record names no longer exists.
 ///
+/// When the store was restored from an older copy, records and leases prove
+/// nothing: a later owner may not be shown. Every ownership then ends, and the
+/// epochs of the new era are above all earlier ones. An owner that held its
+/// lease until it learned of the restore continues at once; others wait until
+/// no lease of an earlier era can be valid, unless owners are fenced.
+///
 /// Example:
 ///   OwnershipKeeper ownership(names, timing, timers, store, outbox,
 ///                             {.on_acquired = ..., .on_lost = ...,
@@ -32,6 +38,14 @@
 
 namespace kingcuplock {
 
+/// What keeps an owner that was replaced without knowing it from doing harm.
+enum class OwnerExclusion {
+  /// It stops when its lease may have expired.
+  kLease,
+  /// Everything that it does is refused because of its lower epoch.
+  kEpoch
+};
+
 /// Callbacks of an OwnershipKeeper.
 struct OwnershipCallbacks {
   /// This instance has become the owner of `database` under `record`.
@@ -56,6 +70,7 @@
 
   OwnershipKeeper(InstanceNames names,
                   TimingSettings timing,
+                  OwnerExclusion exclusion,
                   TimerService& timers,
                   StoreClient& store,
                   Outbox& outbox,
@@ -171,6 +186,10 @@
     /// Lowest epoch under which this instance may own the database.
     std::int64_t least_epoch = 0;
     std::optional<OwnerRecord> record;
+    /// Record under which this instance owned the database, with a valid lease,
+    /// until it learned that the store was restored. It is newer than anything
+    /// that the store holds of an earlier era.
+    std::optional<OwnerRecord> record_before_restore;
     /// Since when this instance may take the database.
     std::optional<Time> vacant_since;
     std::optional<QueuedWrite> queued;
@@ -179,12 +198,28 @@
     std::optional<StoreItem> deferred;
   };
 
+  /// A compare-and-swap of a record.
+  struct Swap {
+    std::string database;
+    OwnerRecord record;
+    std::int64_t expected_version = 0;
+    /// Of the store client when `expected_version` was read.
+    std::int64_t era_change_count = 0;
+    WriteCallback callback;
+  };
+
+  void OnNewEra();
   void OnRecordChanged(const StoreItem& item, bool deleted);
   void OnLeaseKeyChanged(const StoreItem& item, bool deleted);
   void OnOwnLeaseChanged(std::int64_t lease);
   void CheckVacantDatabases();
   void ReevaluateTakeover(const std::string& database);
   void EvaluateEntry(const std::string& database, Entry& entry);
+  auto IsOfEarlierEra(const OwnerRecord& record) const -> bool;
+  auto MayHaveUnknownOwner(const Entry& entry) const -> bool;
+  void SetRecord(Entry& entry,
+                 std::int64_t version,
+                 std::optional<OwnerRecord> record);
   auto IsVacant(const Entry& entry) const -> bool;
   auto IsOrphaned(const Entry& entry) const -> bool;
   auto IsOfEarlierRun(const Entry& entry) const -> bool;
@@ -205,15 +240,9 @@
   void SwapRecord(const std::string& database,
                   OwnerRecord record,
                   WriteCallback callback);
-  void SendSwap(const std::string& database,
-                const OwnerRecord& record,
-                std::int64_t expected,
-                const WriteCallback& callback);
-  void OnSwapAnswer(const std::string& database,
-                    const OwnerRecord& record,
-                    std::int64_t expected,
-                    const WriteCallback& callback,
-                    const StoreAnswer* answer);
+  void SendSwap(const Swap& swap);
+  void OnSwapAnswer(const Swap& swap, const StoreAnswer* answer);
+  void AbandonSwap(const Swap& swap);
   void ApplySwapOutcome(const std::string& database,
                         const OwnerRecord& record,
                         bool written);
@@ -225,6 +254,7 @@
 
   InstanceNames names_;
   TimingSettings timing_;
+  OwnerExclusion exclusion_;
   TimerService& timers_;
   StoreClient& store_;
   Outbox& outbox_;
--- a/testing/gateway_fixture.h
+++ b/testing/gateway_fixture.h
@@ -195,7 +195,8 @@
   }
 
   /// Returns a line for each way in which the clients' answers, the members'
-  /// runs and the commits contradict each other.
+  /// runs and the commits contradict each other, and for each fencing token
+  /// that a second holder used or that, unfenced, came after a higher one.
   auto FindViolations() const -> std::vector<std::string>;
 
   /// Returns the number of statements that were answered with success.
@@ -263,6 +264,7 @@
   auto OnMemberHello(std::size_t node, const SendMemberHello& hello) -> void;
   auto RunStatement(std::size_t node, const SendStatement& send) -> void;
   auto OnPromotionOrder(std::size_t node, const OrderPromotion& order) -> void;
+  auto CheckFencingToken(const OrderPromotion& order) -> void;
   auto OnAnswer(const AnswerClient& answer, std::size_t node) -> void;
   auto DropLink(std::size_t node, ConnectionId link, Reach reason) -> void;
   /// Returns the time of the store, in ms.
@@ -299,6 +301,10 @@
   Duration store_delay_per_gateway_{};
   std::vector<LogAction> logs_;
   std::vector<std::int64_t> order_fencing_tokens_;
+  /// First holder that used each fencing token.
+  std::map<std::int64_t, std::string> token_holders_;
+  /// Contradictions between the orders of the holders.
+  std::vector<std::string> order_violations_;
   ConnectionId last_client_connection_ = 0;
 };
 
--- a/testing/gateway_fixture_actions.cc
+++ b/testing/gateway_fixture_actions.cc
@@ -5,6 +5,8 @@
 #include <type_traits>
 #include <variant>
 
+#include <fmt/format.h>
+
 #include "kingcuplock/schema/codec.h"
 #include "testing/gateway_fixture.h"
 
@@ -321,6 +323,7 @@
     });
     return;
   }
+  CheckFencingToken(order);
   order_fencing_tokens_.push_back(order.fencing_token);
   if (lost_order_delay_) {
     timers_.After(*lost_order_delay_, [this, order] {
@@ -344,6 +347,23 @@
   });
 }
 
+auto GatewayFixture::CheckFencingToken(const OrderPromotion& order) -> void {
+  const auto& first =
+      token_holders_.try_emplace(order.fencing_token, order.holder)
+          .first->second;
+  if (first != order.holder) {
+    order_violations_.push_back(
+        fmt::format("the fencing token {} was used by both {} and {}",
+                    order.fencing_token, first, order.holder));
+  }
+  const auto highest = token_holders_.rbegin()->first;
+  if (!options_.group.fenced && order.fencing_token < highest) {
+    order_violations_.push_back(
+        fmt::format("{} used the fencing token {} after {} was used",
+                    order.holder, order.fencing_token, highest));
+  }
+}
+
 auto GatewayFixture::PublishEndpoint(const std::string& member) -> void {
   EndpointEntry entry;
   entry.member = member;
--- a/testing/gateway_fixture_checks.cc
+++ b/testing/gateway_fixture_checks.cc
@@ -88,7 +88,7 @@
 }
 
 auto GatewayFixture::FindViolations() const -> std::vector<std::string> {
-  std::vector<std::string> violations;
+  auto violations = order_violations_;
   std::map<std::string, const ClientStatement*> by_id;
   for (const auto& it : client_statements_) {
     by_id[it.statement.id] = &it;
