Ownership: the last owner continues without a delay by rank after a restore

Cause: the restored store may hold no record, or one of another owner, so the instance that owned until the restore waited by its rank like any other.

Fix: no delay for it; nobody else may take the database then.

--- a/kingcuplock/ownership/ownership_keeper.cc
+++ b/kingcuplock/ownership/ownership_keeper.cc
@@ -182,7 +182,7 @@
 
 auto OwnershipKeeper::TakeoverDelay(const std::string& database,
                                     const Entry& entry) const -> Duration {
-  if (entry.handed_over) {
+  if (entry.handed_over || entry.record_before_restore) {
     return Duration::zero();
   }
   if (entry.record && entry.record->phase != Phase::kReleased &&
