Members' entries: one that a member wrote earlier does not replace a later one

Cause: the directory takes whatever arrives last. A restored store delivers entries from before a member reported that it leaves, until the member writes again (up to 2 s), and peers offer entries that may be older than the own. Same class: order was taken from the way of delivery, not from the value.

Fix: the member's own order, its start and the number of its registration, decides. Entries without them replace each other as before.

The test 'An older entry of a member does not replace a newer one' failed before: the field for the number did not exist, and Set() had no order.

--- a/kingcuplock/gateway/endpoint_directory.h
+++ b/kingcuplock/gateway/endpoint_directory.h
@@ -2,7 +2,8 @@
 
 /// Members registered in the store. A member whose entry disappears stays
 /// listed for a short while, as entries expire in an outage of the store and
-/// come back after it.
+/// come back after it. An entry that the member wrote before the listed one is
+/// ignored: a restored store and peers may deliver it later.
 ///
 /// Example:
 ///   EndpointDirectory directory(timers, [] { ApplyMembers(); });
@@ -33,12 +34,20 @@
   EndpointDirectory(TimerService& timers, std::function<void()> on_change)
       : timers_(timers), on_change_(std::move(on_change)) {}
 
-  /// Adds or replaces the entry of a member.
+  /// Adds or replaces the entry of a member, unless `entry` is older than the
+  /// listed one.
   auto Set(const EndpointEntry& entry) -> void {
     auto& listed = entries_[entry.member];
+    if (IsOlder(entry, listed.entry)) {
+      return;
+    }
     timers_.Cancel(std::exchange(listed.removal_timer, 0));
-    if (listed.entry != entry) {
-      listed.entry = entry;
+    // Most entries differ in nothing but their number.
+    auto same_number = entry;
+    same_number.sequence = listed.entry.sequence;
+    const auto changed = same_number != listed.entry;
+    listed.entry = entry;
+    if (changed) {
       on_change_();
     }
   }
@@ -82,6 +91,18 @@
   auto Size() const -> std::size_t { return entries_.size(); }
 
  private:
+  /// Returns whether the member wrote `entry` before `other`. Entries without a
+  /// start or number tell no order.
+  static auto IsOlder(const EndpointEntry& entry, const EndpointEntry& other)
+      -> bool {
+    if (entry.born_ms == 0 || other.born_ms == 0) {
+      return false;
+    }
+    return entry.born_ms < other.born_ms ||
+           (entry.born_ms == other.born_ms && entry.sequence > 0 &&
+            entry.sequence < other.sequence);
+  }
+
   struct ListedEntry {
     EndpointEntry entry;
     /// Timer of the removal; 0 while the entry is registered.
--- a/kingcuplock/gateway/views_test.cc
+++ b/kingcuplock/gateway/views_test.cc
@@ -126,5 +126,53 @@
   CHECK(changes == 2);
 }
 
+// Guards against new work for a leaving member: after a restore, the store
+// holds its entry from before it reported that it leaves.
+TEST_CASE("An older entry of a member does not replace a newer one") {
+  TimerService timers;
+  auto changes = 0;
+  EndpointDirectory directory(timers, [&] { ++changes; });
+  EndpointEntry entry;
+  entry.member = "m1";
+  entry.group = "g";
+  entry.born_ms = 500;
+  entry.sequence = 7;
+  entry.leaving = true;
+  directory.Set(entry);
+  auto older = entry;
+  older.leaving = false;
+  older.sequence = 6;
+  directory.Set(older);
+  CHECK(directory.All().front().leaving);
+  auto earlier_run = older;
+  earlier_run.born_ms = 400;
+  earlier_run.sequence = 90;
+  directory.Set(earlier_run);
+  CHECK(directory.All().front().leaving);
+  CHECK(changes == 1);
+  auto restarted = older;
+  restarted.born_ms = 600;
+  restarted.sequence = 1;
+  directory.Set(restarted);
+  CHECK_FALSE(directory.All().front().leaving);
+  auto renewed = restarted;
+  renewed.sequence = 2;
+  directory.Set(renewed);
+  CHECK(changes == 2);
+}
+
+TEST_CASE("Entries without a start or number replace each other") {
+  TimerService timers;
+  EndpointDirectory directory(timers, [] {});
+  EndpointEntry entry;
+  entry.member = "m1";
+  entry.sequence = 9;
+  directory.Set(entry);
+  entry.sequence = 1;
+  entry.leaving = true;
+  directory.Set(entry);
+  CHECK(directory.All().front().leaving);
+}
+
 }  // namespace
 }  // namespace kingcuplock
--- a/kingcuplock/schema/messages.cc
+++ b/kingcuplock/schema/messages.cc
@@ -481,6 +481,7 @@
   internal::WriteOptional(out, "leaving", value.leaving, kDefaults.leaving);
   internal::WriteOptional(out, "leads", value.leads, kDefaults.leads);
   internal::WriteOptional(out, "born_ms", value.born_ms, kDefaults.born_ms);
+  internal::WriteOptional(out, "sequence", value.sequence, kDefaults.sequence);
 }
 
 void from_json(const nlohmann::json& in, EndpointEntry& value) {
@@ -494,6 +495,7 @@
   internal::ReadOptional(in, "leaving", value.leaving);
   internal::ReadOptional(in, "leads", value.leads);
   internal::ReadOptional(in, "born_ms", value.born_ms);
+  internal::ReadOptional(in, "sequence", value.sequence);
 }
 
 void to_json(nlohmann::json& out, const RoutesWanted& value) {
--- a/kingcuplock/schema/messages.h
+++ b/kingcuplock/schema/messages.h
@@ -509,6 +509,9 @@
   bool leads{};
   /// Unix time in ms at which it started; 0 if not given.
   std::int64_t born_ms{};
+  /// Number of the registration since its start, rises with each; 0 if not
+  /// given.
+  std::int64_t sequence{};
 
   auto operator==(const EndpointEntry&) const -> bool = default;
 };
