Daemon: the fixture and the fault schedules restore the store from an older copy

Cause for the change: the daemon shares store client and ownership with the gateway, but nothing played a restore on it. The schedules of known seeds stay as they are.

--- a/proofs/fault_schedules/fault_schedule.cc
+++ b/proofs/fault_schedules/fault_schedule.cc
@@ -24,13 +24,20 @@
     "store-down",
     "store-slow",
     "lose-store-answers",
-    "expire-leases"};
+    "expire-leases",
+    "restore-store"};
 
 constexpr std::int64_t kMinFaultDurationMs = 100;
 constexpr std::int64_t kMaxFaultDurationMs = 4000;
 constexpr Milliseconds kSlowStoreDelay{500};
 constexpr Milliseconds kReplicationLag{3000};
 constexpr int kLostStoreAnswers = 3;
+/// Number of the kinds that any schedule may have.
+constexpr int kCommonKindCount = kFaultKindCount - 1;
+/// Age of the copy from which a store is restored, and time until operators
+/// have written to it again, in ms per unit of a fault's choice (0 to 1000).
+constexpr std::int64_t kCopyAgePerChoice = 8;
+constexpr std::int64_t kRewriteDelayPerChoice = 2;
 
 auto RandomInRange(std::mt19937_64& random, std::int64_t low, std::int64_t high)
     -> std::int64_t {
@@ -47,15 +54,16 @@
   return kFaultNames.at(static_cast<std::size_t>(kind));
 }
 
-auto MakeFaultSchedule(std::mt19937_64& random, Duration span)
-    -> std::vector<ScheduledFault> {
+auto MakeFaultSchedule(std::mt19937_64& random,
+                       Duration span,
+                       StoreData store_data) -> std::vector<ScheduledFault> {
   std::vector<ScheduledFault> schedule;
   constexpr std::int64_t kMaxFaults = 3;
   for (auto remaining = RandomInRange(random, 1, kMaxFaults); remaining > 0;
        --remaining) {
     ScheduledFault fault;
     fault.kind =
-        static_cast<FaultKind>(RandomInRange(random, 0, kFaultKindCount - 1));
+        static_cast<FaultKind>(RandomInRange(random, 0, kCommonKindCount - 1));
     fault.begin = Duration(RandomInRange(random, 0, span.count()));
     fault.duration = Milliseconds(
         RandomInRange(random, kMinFaultDurationMs, kMaxFaultDurationMs));
@@ -68,6 +76,15 @@
     schedule[1].begin =
         schedule[0].begin + Milliseconds(RandomInRange(random, 0, 50));
   }
+  if (store_data == StoreData::kRestored) {
+    for (auto n = RandomInRange(random, 1, 2); n > 0; --n) {
+      schedule.push_back(
+          {FaultKind::kRestoreStore,
+           Duration(RandomInRange(random, 0, span.count())),
+           Milliseconds(RandomInRange(random, 1, kMaxFaultDurationMs / 4)),
+           static_cast<std::size_t>(RandomInRange(random, 0, 1000))});
+    }
+  }
   return schedule;
 }
 
@@ -91,6 +108,7 @@
     case FaultKind::kStoreSlow:
     case FaultKind::kLoseStoreAnswers:
     case FaultKind::kExpireLeases:
+    case FaultKind::kRestoreStore:
       return BeginStoreFault(fault);
     default:
       return BeginMemberFault(fault);
@@ -194,6 +212,13 @@
     case FaultKind::kLoseStoreAnswers:
       fixture_.LoseStoreAnswers(kLostStoreAnswers);
       return NoUndo();
+    case FaultKind::kRestoreStore:
+      fixture_.SetStoreDown(true);
+      return [this, choice = static_cast<std::int64_t>(fault.choice)] {
+        fixture_.RestoreStore(Milliseconds(choice * kCopyAgePerChoice),
+                              Milliseconds(choice * kRewriteDelayPerChoice));
+        fixture_.SetStoreDown(false);
+      };
     default:
       fixture_.ExpireLeases();
       return NoUndo();
--- a/proofs/fault_schedules/fault_schedule.h
+++ b/proofs/fault_schedules/fault_schedule.h
@@ -52,11 +52,17 @@
   /// The store carries out some calls whose answers are lost.
   kLoseStoreAnswers,
   /// The store ends every lease at once.
-  kExpireLeases
+  kExpireLeases,
+  /// The store is down, and comes back from an older copy of its data.
+  kRestoreStore
 };
 
 /// Number of FaultKind values.
-inline constexpr int kFaultKindCount = 19;
+inline constexpr int kFaultKindCount = 20;
+
+/// Whether the store keeps its data, or is restored once or twice in addition
+/// to the other failures.
+enum class StoreData { kKept, kRestored };
 
 /// Returns the name of a kind as run descriptions show it.
 auto ToString(FaultKind kind) -> std::string_view;
@@ -74,7 +80,9 @@
 /// Returns one to three failures. Each begins within `span` or, if it is the
 /// second one, at most 50 ms after the first. The result depends only on
 /// `random` and `span`.
-auto MakeFaultSchedule(std::mt19937_64& random, Duration span)
+auto MakeFaultSchedule(std::mt19937_64& random,
+                       Duration span,
+                       StoreData store_data = StoreData::kKept)
     -> std::vector<ScheduledFault>;
 
 /// Injects failures into a fixture that has the database db0. The fixture must
--- a/proofs/fault_schedules/fault_schedules_test.cc
+++ b/proofs/fault_schedules/fault_schedules_test.cc
@@ -17,6 +17,16 @@
   }
 }
 
+// Guards against a second owner beside one that a restored store does not show,
+// and against terms and primaries taken from an older record.
+TEST_CASE("Schedules that restore the store cause no violation") {
+  constexpr std::uint64_t kLastRestoreSeed = 100;
+  for (auto seed = kFirstSeed; seed <= kLastRestoreSeed; ++seed) {
+    const auto result = RunFaultSchedule(seed, StoreData::kRestored);
+    CHECK_MESSAGE(result.violations.empty(), Describe(result));
+  }
+}
+
 TEST_CASE("A paused owner sends no statements beside its successor") {
   // Seeds that once failed: an owner resumed after a pause and sent statements
   // while the new owner did, too. In 6886 it still counted its lease as valid.
--- a/proofs/fault_schedules/main.cc
+++ b/proofs/fault_schedules/main.cc
@@ -56,6 +56,8 @@
   app.add_option("--from", from, "first seed");
   app.add_option("--to", to, "last seed");
   app.add_option("--threads", threads, "number of threads");
+  auto restore = false;
+  app.add_flag("--restore", restore, "restore the store in every schedule");
   CLI11_PARSE(app, argc, argv);
   SearchTotals totals;
   std::atomic<std::uint64_t> next{from};
@@ -63,7 +65,9 @@
   for (auto n = 0; n < threads; ++n) {
     workers.emplace_back([&] {
       for (auto seed = next++; seed <= to; seed = next++) {
-        AddResult(totals, kingcuplock::RunFaultSchedule(seed));
+        AddResult(totals, kingcuplock::RunFaultSchedule(
+                              seed, restore ? kingcuplock::StoreData::kRestored
+                                            : kingcuplock::StoreData::kKept));
       }
     });
   }
--- a/proofs/fault_schedules/schedule_run.cc
+++ b/proofs/fault_schedules/schedule_run.cc
@@ -184,13 +184,14 @@
 /// Fixture, sessions and checks of one run.
 class ScheduleRun {
  public:
-  explicit ScheduleRun(std::uint64_t seed)
+  ScheduleRun(std::uint64_t seed, StoreData store_data)
       : fixture_({.seed = seed,
                   .nodes = kNodeCount,
                   .databases = 1,
                   .slots = kSlotsPerMember,
                   .connections = kConnectionsPerMember}),
-        injector_(fixture_) {
+        injector_(fixture_),
+        store_data_(store_data) {
     result_.seed = seed;
     for (std::size_t n = 0; n < kSessionCount; ++n) {
       sessions_.push_back(
@@ -202,7 +203,7 @@
     fixture_.RunUntilServing();
     start_time_ = fixture_.Now();
     result_.schedule =
-        MakeFaultSchedule(fixture_.random(), kFaultPhaseDuration);
+        MakeFaultSchedule(fixture_.random(), kFaultPhaseDuration, store_data_);
     while (fixture_.Now() < start_time_ + kLoadPhaseDuration) {
       ApplyFaults();
       RunLoadStep();
@@ -323,6 +324,7 @@
 
   NodeFixture fixture_;
   FaultInjector injector_;
+  StoreData store_data_;
   HistoryChecker checker_;
   ScheduleRunResult result_;
   std::vector<std::unique_ptr<SimulatedSession>> sessions_;
@@ -334,8 +336,9 @@
 
 }  // namespace
 
-auto RunFaultSchedule(std::uint64_t seed) -> ScheduleRunResult {
-  return ScheduleRun(seed).Execute();
+auto RunFaultSchedule(std::uint64_t seed, StoreData store_data)
+    -> ScheduleRunResult {
+  return ScheduleRun(seed, store_data).Execute();
 }
 
 auto Describe(const ScheduleRunResult& result) -> std::string {
--- a/proofs/fault_schedules/schedule_run.h
+++ b/proofs/fault_schedules/schedule_run.h
@@ -30,8 +30,10 @@
   std::int64_t peak_statements = 0;
 };
 
-/// Runs the schedule of `seed`. The same seed gives the same result.
-auto RunFaultSchedule(std::uint64_t seed) -> ScheduleRunResult;
+/// Runs the schedule of `seed`. The same arguments give the same result.
+auto RunFaultSchedule(std::uint64_t seed,
+                      StoreData store_data = StoreData::kKept)
+    -> ScheduleRunResult;
 
 /// Returns a run's seed, failures (kind@begin+duration/choice) and violations
 /// as text.
--- a/testing/node_fixture.cc
+++ b/testing/node_fixture.cc
@@ -153,6 +153,7 @@
     group.Replicate(now_.time_since_epoch().count());
   }
   AnswerPositionWaiters();
+  store_copies_.TakeIfDue(store_, now_.time_since_epoch().count() / 1000);
   store_.ExpireDueLeases(now_.time_since_epoch().count() / 1000);
   PushStoreEvents();
   Schedule(kReplicateInterval, [this] { ReplicateLoop(); });
--- a/testing/node_fixture.h
+++ b/testing/node_fixture.h
@@ -28,6 +28,7 @@
 #include "standin/database/database_group.h"
 #include "standin/database/transaction_session.h"
 #include "standin/store/key_value_store.h"
+#include "standin/store/store_copies.h"
 
 namespace kingcuplock {
 
@@ -151,6 +152,10 @@
   void LoseStoreAnswers(int count) { store_answers_to_lose_ = count; }
   /// Ends all leases at once, before they expire.
   void ExpireLeases() { store_.ExpireAllLeases(); }
+  /// Restores the store from its copy of about `age` ago. Watches end without a
+  /// word. What PutInStore() wrote since is written again after
+  /// `rewritten_after`.
+  void RestoreStore(Duration age, Duration rewritten_after);
   /// Starts or ends the loss of all messages between an instance and the store.
   void PartitionFromStore(std::size_t node, bool partitioned);
   /// Starts or ends the loss of all watch events to an instance; its calls are
@@ -316,6 +321,9 @@
   std::map<std::pair<std::size_t, ConnectionId>, std::set<std::string>>
       watches_;
   bool store_down_ = false;
+  StoreCopies store_copies_;
+  /// Newest value that PutInStore() wrote under each key.
+  std::map<std::string, std::string> external_items_;
   Duration store_delay_{};
   int store_answers_to_lose_ = 0;
   std::map<std::string, DatabaseGroup> groups_;
--- a/testing/node_fixture_faults.cc
+++ b/testing/node_fixture_faults.cc
@@ -111,10 +111,26 @@
 }
 
 void NodeFixture::PutInStore(const std::string& key, const std::string& value) {
+  external_items_[key] = value;
   store_.Put(key, value);
   PushStoreEvents();
 }
 
+void NodeFixture::RestoreStore(Duration age, Duration rewritten_after) {
+  store_copies_.Restore(store_, now_.time_since_epoch().count() / 1000,
+                        age / Milliseconds(1));
+  watches_.clear();
+  Schedule(rewritten_after, [this, era = store_.era()] {
+    if (era != store_.era()) {
+      return;
+    }
+    for (const auto& [key, value] : external_items_) {
+      store_.Put(key, value);
+    }
+    PushStoreEvents();
+  });
+}
+
 void NodeFixture::PublishInstanceList(const InstanceList& list) {
   PutInStore("platform/instances", EncodeJson(list, FrameFormat::kJson));
 }
