Soak: restores the store from older copies, and checks that the newest routes come into force

Cause for the change: the soak could not play a restored store, and no check of it would have seen the incident. Every run ends with the check that the newest version is in force on every gateway within 3 s (metrics page).

--- a/soak/platform_standin.py
+++ b/soak/platform_standin.py
@@ -14,10 +14,12 @@
 DEMOTION_DELAY_S = 1.0
 PROMOTION_DELAY_S = 0.5  # from an accepted promotion call to the new primary
 LEASE_CHECK_INTERVAL_S = 0.05
+COPY_INTERVAL_S = 0.25  # time between two copies of the store
+MAX_COPIES = 48
 
 
 class Store:
-    """Key-value store with revisions, leases and watches."""
+    """Key-value store with revisions, leases and watches. It can be restored from an older copy of its data."""
 
     def __init__(self):
         self.items = {}
@@ -27,6 +29,27 @@
         self.last_lease = 100
         self.changed = asyncio.Event()
         self.mode = "up"
+        self.era = 1
+        self.copies = []  # (time, items, leases, revision, last lease), oldest first
+
+    async def take_copies(self):
+        while True:
+            self.copies = self.copies[1 - MAX_COPIES:] + [
+                (time.monotonic(), dict(self.items), dict(self.leases), self.revision, self.last_lease)]
+            await asyncio.sleep(COPY_INTERVAL_S)
+
+    def restore(self, age_s):
+        """Goes back to the newest copy that is `age_s` old, or the oldest. Revisions and lease ids are given out again."""
+        now = time.monotonic()
+        while len(self.copies) > 1 and now - self.copies[-1][0] < age_s:
+            self.copies.pop()
+        taken, items, leases, self.revision, self.last_lease = self.copies[-1]
+        self.items = dict(items)
+        self.leases = {it: (ttl, until + now - taken) for it, (ttl, until) in leases.items()}
+        self.era += 1
+        self.drop_watch_history()
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def put(self, key, value, lease=0):
         self.revision += 1
@@ -97,7 +120,7 @@
         until = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
             gap = [it for it in self.history if it.get("gap")]
-            if gap and after < gap[0]["revision"]:
+            if (gap and after < gap[0]["revision"]) or after > self.revision:
                 return 410, {}
             events = [it for it in self.history if it["revision"] > after and it["key"].startswith(query["prefix"])
                       and not it.get("gap")]
@@ -392,8 +415,8 @@
         return rows + [f"DONE {signature}"], True
 
 
-async def serve_http(handler, mode, reader, writer):
-    """Answers HTTP requests on one connection.
+async def serve_http(handler, mode, reader, writer, extra_headers=dict):
+    """Answers HTTP requests on one connection; `extra_headers()` returns further headers of an answer.
 
     `mode()` returns how the service behaves at each request: "up", "slow" (0.3 s late), "silent" (no answer),
     "refusing" (503) or "lossy" (loses 40% of the answers to requests other than GET, after their effect).
@@ -419,8 +442,9 @@
             if behaviour == "lossy" and method != "GET" and random.random() < 0.4:
                 break
             text = json.dumps(body).encode()
-            writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(text)}\r\n\r\n"
-                         .encode() + text)
+            extra = "".join(f"{name}: {value}\r\n" for name, value in extra_headers().items())
+            writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n{extra}"
+                         f"Content-Length: {len(text)}\r\n\r\n".encode() + text)
             await writer.drain()
     except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
         pass
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -21,6 +21,7 @@
 NOT_RUN_ERRORS = {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANY"}
 MAX_STALENESS_S = 1.5  # of reads on the routes "bounded" and "own"
 SERVICE = "svc1"
+CONFIG_PROPAGATION_S = 3  # longest time until a change of the routes is in force
 STOP_GRACE_S = 6  # time that a gateway gets for a planned stop
 # A statement that is sent while the gateway closes the idle session may be lost, so a planned stop may end the
 # connection up to this long after the send.
@@ -152,7 +153,8 @@
         for number in range(self.options.gateways):
             server = await asyncio.start_server(
                 lambda r, w, n=number: serve_http(self.handle_store_request,
-                                                  lambda: self.store_modes.get(n, "up"), r, w),
+                                                  lambda: self.store_modes.get(n, "up"), r, w,
+                                                  lambda: {"Store-Era": self.store.era}),
                 "127.0.0.1", 0)
             self.store_proxies.append(FaultProxy(server.sockets[0].getsockname()[1]))
             await self.store_proxies[-1].start()
@@ -160,7 +162,7 @@
             lambda r, w: serve_http(self.handle_promotion_request, lambda: self.cloud_mode, r, w), "127.0.0.1", 0)
         self.cloud_port = cloud.sockets[0].getsockname()[1]
         self.publish_config(1)
-        self.tasks = [asyncio.create_task(it) for it in (self.store.expire_leases(), self.publish_members())]
+        self.tasks = [asyncio.create_task(it) for it in (self.store.expire_leases(), self.store.take_copies(), self.publish_members())]
         self.gateways = [Gateway(n, self, self.options.binary) for n in range(self.options.gateways)]
         await asyncio.gather(*(it.start() for it in self.gateways))
 
@@ -202,6 +204,8 @@
         unplanned = [self.kill_gateway, self.pause_gateway, self.crash_member, self.disturb_member_link,
                      self.disturb_member_link, self.reset_member_connections, self.disturb_store,
                      self.disturb_promotion_calls, self.lose_member_answers, self.slow_replication]
+        if self.options.restores:
+            unplanned += [self.restore_store] * 4
         running = set()
         while time.monotonic() < self.deadline - 4:
             await asyncio.sleep(self.random.uniform(0.2, 1.4))
@@ -255,6 +259,18 @@
         for it in numbers:
             self.store_modes[it] = "up"
 
+    async def restore_store(self):
+        """Takes the store away and back from an older copy. The operator writes again what it lost; so do the members."""
+        numbers = range(len(self.gateways))
+        for it in numbers:
+            self.store_modes[it] = self.random.choice(["refusing", "silent"])
+        await asyncio.sleep(self.random.choice([0, self.random.uniform(0, 1.5)]))
+        self.store.restore(self.random.uniform(0.3, 10))
+        for it in numbers:
+            self.store_modes[it] = "up"
+        await asyncio.sleep(self.random.uniform(0, 1.5))
+        self.publish_config(self.version)
+
     async def disturb_promotion_calls(self):
         self.cloud_mode = self.random.choice(["refusing", "lossy", "silent"])
         await asyncio.sleep(self.random.uniform(0.3, 1.5))
@@ -277,6 +293,19 @@
 
     # ------------------------------------------------------------- checks
 
+    async def check_newest_version(self):
+        """Checks that the newest routes come into force on every gateway in time. Nothing may be disturbed meanwhile."""
+        until = time.monotonic() + CONFIG_PROPAGATION_S
+        while True:
+            versions = {it.number: await read_routes_version(it.ports["metrics"]) for it in self.gateways}
+            if set(versions.values()) == {self.version}:
+                return
+            if time.monotonic() > until:
+                self.violations.append(f"version {self.version} of the routes is not in force after "
+                                       f"{CONFIG_PROPAGATION_S} s; versions by gateway: {versions}")
+                return
+            await asyncio.sleep(0.2)
+
     def check_promises(self):
         """Compares what members executed and committed with what clients were told. Returns all violations."""
         committed = {}
@@ -477,6 +506,18 @@
     return total
 
 
+async def read_routes_version(port):
+    """Returns the version on a gateway's metrics page, None if it does not answer."""
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        text = (await asyncio.wait_for(reader.read(-1), 1)).decode()
+        writer.close()
+        return int(float(text.split('{what="routes_version"} ')[1].split()[0]))
+    except (OSError, asyncio.TimeoutError, IndexError):
+        return None
+
+
 async def run_seed(options, seed):
     """Runs the soak once with this seed, prints its result and returns whether every promise was kept."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
@@ -487,6 +528,7 @@
     test_bed.deadline = time.monotonic() + options.seconds
     clients = [Client(n, test_bed) for n in range(options.clients)]
     await asyncio.gather(test_bed.run_faults(), *(it.run() for it in clients))
+    await test_bed.check_newest_version()
     memory_mb = total_memory_mb(test_bed)
     for it in test_bed.gateways:
         it.send_signal(signal.SIGKILL)
@@ -520,6 +562,8 @@
     parser.add_argument("--clients", type=int, default=24)
     parser.add_argument("--planned-only", action="store_true",
                         help="inject planned stops and configuration changes only; no statement may be cut")
+    parser.add_argument("--restores", action="store_true",
+                        help="also restore the store from older copies, more often than any other fault")
     parser.add_argument("--unfenced", action="store_true",
                         help="gateways require no fencing tokens; a replaced primary still serves for a second")
     parser.add_argument("--most-memory-mb", type=int, default=2000)
