Gateway: a store at a new address is another store

Cause: the store adapter took a new address, but store client and ownership went on to compare versions, epochs and leases of the former store. Same class as the restore.

Fix: a change of the address begins a new era at the store client, as a restore does; epochs stay above those known.

--- a/kingcuplock/gateway/gateway.cc
+++ b/kingcuplock/gateway/gateway.cc
@@ -291,6 +291,10 @@
   SchedulePeerUpdate();
 }
 
+auto Gateway::OnStoreReplaced() -> void {
+  store_.BeginNewEra();
+}
+
 auto Gateway::SchedulePeerUpdate() -> void {
   if (std::exchange(peer_update_scheduled_, true)) {
     return;
--- a/kingcuplock/gateway/gateway.h
+++ b/kingcuplock/gateway/gateway.h
@@ -118,6 +118,10 @@
   /// member could be reached.
   auto OnMemberClosed(ConnectionId connection, Reach reason) -> void;
 
+  /// Treats the store as replaced by another one, after a change of its
+  /// address: nothing read from the former one is compared with the new one.
+  auto OnStoreReplaced() -> void;
+
   /// Handles the outcome of the OrderPromotion with that id.
   auto OnPromotionAnswered(std::int64_t id, PromotionOutcome outcome) -> void;
 
--- a/kingcuplock/gateway/gateway_restored_store_test.cc
+++ b/kingcuplock/gateway/gateway_restored_store_test.cc
@@ -50,6 +50,38 @@
   }
 }
 
+// Guards against the same fault without a restore: the settings name another
+// store, whose revisions and epochs begin below those of the former one.
+TEST_CASE("Routes and promotions go on at a new store address") {
+  GatewayFixture fixture({.gateways = 3});
+  fixture.RunFor(Milliseconds(1200));
+  for (const auto version : {2, 4, 5}) {
+    fixture.ChangeRoutes(version, 0);
+    fixture.RunFor(Milliseconds(300));
+  }
+  fixture.CrashMember("m1");
+  fixture.RunFor(Milliseconds(2500));
+  REQUIRE(fixture.OrderFencingTokens().size() == 1);
+  fixture.RestartMember("m1");
+  fixture.RunFor(Milliseconds(1000));
+  fixture.ReplaceStore();
+  fixture.RunFor(Milliseconds(300));
+  fixture.ChangeRoutes(8, 1);
+  fixture.RunFor(kRoutesBound);
+  CHECK(AllUse(fixture, 3, 8));
+  for (const auto* it : {"m2", "m3"}) {
+    if (fixture.group().ActsAsPrimary(it, fixture.Now())) {
+      fixture.CrashMember(it);
+      break;
+    }
+  }
+  fixture.RunFor(Milliseconds(2500));
+  const auto& tokens = fixture.OrderFencingTokens();
+  REQUIRE(tokens.size() == 2);
+  CHECK(tokens[1] > tokens[0]);
+  CHECK(fixture.FindViolations().empty());
+}
+
 TEST_SUITE_END();
 
 }  // namespace
--- a/testing/gateway_fixture.h
+++ b/testing/gateway_fixture.h
@@ -138,6 +138,9 @@
   /// word. Operator and members write again what they wrote since, within
   /// `rewritten_after`.
   auto RestoreStore(Duration age, Duration rewritten_after) -> void;
+  /// Replaces the store by an empty one at another address, to which operator
+  /// and members write at once. The gateways learn the address.
+  auto ReplaceStore() -> void;
   /// Marks a member as leaving in its endpoint entry.
   auto SetMemberLeaving(const std::string& member) -> void;
   /// Writes the entry of the member `unregistered_member` to the store.
--- a/testing/gateway_fixture_actions.cc
+++ b/testing/gateway_fixture_actions.cc
@@ -109,6 +109,21 @@
   });
 }
 
+auto GatewayFixture::ReplaceStore() -> void {
+  store_ = KeyValueStore();
+  store_copies_ = StoreCopies();
+  published_endpoints_.clear();
+  store_.Put(std::string(kRoutesKey), newest_routes_);
+  PublishEndpoints();
+  store_.TakeEvents();
+  for (std::size_t n = 0; n < nodes_.size(); ++n) {
+    nodes_[n]->watched_prefixes.clear();
+    if (nodes_[n]->up) {
+      RunOnGateway(n, [this, n] { nodes_[n]->gateway->OnStoreReplaced(); });
+    }
+  }
+}
+
 auto GatewayFixture::PushStoreEvents() -> void {
   for (const auto& event : store_.TakeEvents()) {
     for (std::size_t n = 0; n < nodes_.size(); ++n) {
