Members' entries: one that only a peer told of does not outlast the outage

Cause: the store removes what it lists; an entry that a peer told of was never listed here, so nothing removed it. Same class: what was read from the store is passed on without the means to take it back.

Fix: entries that the store never delivered are removed, after the usual delay, once it has been reachable for four seconds, which is longer than the interval of the polls.

The test 'A member that only a peer told of is removed once the store is back' guards it; before, the directory had no notion of the origin and kept the entry.

--- a/kingcuplock/gateway/endpoint_directory.h
+++ b/kingcuplock/gateway/endpoint_directory.h
@@ -9,6 +9,7 @@
 ///   EndpointDirectory directory(timers, [] { ApplyMembers(); });
 ///   directory.Set(entry);
 ///   directory.Remove("m-2");
+///   directory.SetFromPeer(entry);  // while the store can't be reached
 
 #include <functional>
 #include <map>
@@ -38,6 +39,7 @@
   /// listed one.
   auto Set(const EndpointEntry& entry) -> void {
     auto& listed = entries_[entry.member];
+    listed.registered = true;
     if (IsOlder(entry, listed.entry)) {
       return;
     }
@@ -66,6 +68,24 @@
         }));
   }
 
+  /// Does the same with an entry that a peer told.
+  auto SetFromPeer(const EndpointEntry& entry) -> void {
+    const auto registered =
+        entries_.contains(entry.member) && entries_[entry.member].registered;
+    Set(entry);
+    entries_[entry.member].registered = registered;
+  }
+
+  /// Removes, after the usual delay, the members that only peers told of. Call
+  /// this when the store has delivered its entries.
+  auto RemoveUnregistered() -> void {
+    for (const auto& [member, listed] : entries_) {
+      if (!listed.registered) {
+        Remove(member);
+      }
+    }
+  }
+
   /// Returns the entries of one group.
   auto EntriesOfGroup(const std::string& group) const
       -> std::vector<EndpointEntry> {
@@ -105,6 +125,8 @@
 
   struct ListedEntry {
     EndpointEntry entry;
+    /// Whether the store delivered an entry of the member.
+    bool registered = false;
     /// Timer of the removal; 0 while the entry is registered.
     TimerId removal_timer = 0;
   };
--- a/kingcuplock/gateway/gateway.h
+++ b/kingcuplock/gateway/gateway.h
@@ -223,6 +223,9 @@
   bool peer_update_scheduled_ = false;
   /// Whether a newer route table has been requested and is awaited.
   bool routes_requested_ = false;
+  /// Number of successive checks, one every second, that found the store
+  /// reachable.
+  int store_reachable_count_ = 0;
   /// Connections that peers opened. Heartbeats with changes go to them too.
   std::set<ConnectionId> inbound_peers_;
   /// Id of the last OrderPromotion.
--- a/kingcuplock/gateway/gateway_peers.cc
+++ b/kingcuplock/gateway/gateway_peers.cc
@@ -20,6 +20,9 @@
 /// Interval in ms at which a peer is asked for the route table and the members'
 /// entries while the store can't be reached.
 constexpr Milliseconds kRoutesRequestInterval{1000};
+/// Number of these intervals in which the store, once it can be reached, has
+/// delivered all entries: they are polled every 3 s.
+constexpr int kEntriesDeliveredAfter = 4;
 
 }  // namespace
 
@@ -111,7 +114,7 @@
     return;
   }
   for (const auto& it : offer.endpoints) {
-    endpoints_.Set(it);
+    endpoints_.SetFromPeer(it);
   }
 }
 
@@ -204,8 +207,12 @@
 auto Gateway::AskPeersForRoutes() -> void {
   timers_.After(kRoutesRequestInterval, [this] { AskPeersForRoutes(); });
   if (store_.IsReachable()) {
+    if (++store_reachable_count_ >= kEntriesDeliveredAfter) {
+      endpoints_.RemoveUnregistered();
+    }
     return;
   }
+  store_reachable_count_ = 0;
   for (const auto& it : peers_.LiveInstances()) {
     if (peers_.Send(it, MakeRoutesRequest())) {
       return;
--- a/kingcuplock/gateway/views_test.cc
+++ b/kingcuplock/gateway/views_test.cc
@@ -161,6 +161,27 @@
   CHECK(changes == 2);
 }
 
+// Guards against a member that left and stays listed for good: a peer still
+// knew it during an outage of the store, which has no entry to remove.
+TEST_CASE(
+    "A member that only a peer told of is removed once the store is back") {
+  TimerService timers;
+  EndpointDirectory directory(timers, [] {});
+  EndpointEntry entry;
+  entry.member = "m1";
+  directory.SetFromPeer(entry);
+  entry.member = "m2";
+  directory.Set(entry);
+  directory.SetFromPeer(entry);
+  entry.member = "m3";
+  directory.SetFromPeer(entry);
+  CHECK(directory.Size() == 3);
+  directory.Set(entry);
+  directory.RemoveUnregistered();
+  timers.AdvanceTo(Time{} + Milliseconds(3000));
+  CHECK(directory.Size() == 2);
+}
+
 TEST_CASE("Entries without a start or number replace each other") {
   TimerService timers;
   EndpointDirectory directory(timers, [] {});
