Promotion duty: a holder keeps what it knows of the primary across a restore

Cause: the restore ends the duty, and the next one of the same instance treated itself as an unknown former holder: every member had to report before it granted again.

Fix: a takeover that continues the own ownership, with no other owner in between, starts from the newest term that the former duty knew, if none of its orders was unsettled.

The test 'The holder goes on granting after a restore while a member is lost' fails without it (no answer within 100 ms). Ruled out: the wait for leases of the former era; the holder takes its duty within 50 ms.

--- a/kingcuplock/gateway/gateway.h
+++ b/kingcuplock/gateway/gateway.h
@@ -241,6 +241,8 @@
   /// Until when an order that this instance gave under a former duty may still
   /// take effect, by group.
   std::map<std::string, Time> unsettled_until_;
+  /// Newest term that a former duty of this instance knew, by group.
+  std::map<std::string, std::optional<std::int64_t>> terms_of_former_duties_;
   /// Groups whose duty was released in the stop.
   std::set<std::string> released_duties_;
   bool stop_complete_ = false;
--- a/kingcuplock/gateway/gateway_duty.cc
+++ b/kingcuplock/gateway/gateway_duty.cc
@@ -50,7 +50,9 @@
   };
   PromotionDutyOptions options;
   options.epoch = record.epoch;
-  options.term = record.term;
+  options.term = duty_ownership_.ContinuesOwnership(group)
+                     ? terms_of_former_duties_[group].value_or(0)
+                     : record.term;
   options.predecessor = record.previous;
   options.own_orders_pending_until = unsettled_until_[group];
   options.predecessor_lease = Milliseconds(settings_.timing.lease_ttl_ms);
@@ -64,6 +66,7 @@
 auto Gateway::OnDutyLost(const std::string& group) -> void {
   if (const auto duty = duties_.find(group); duty != duties_.end()) {
     unsettled_until_[group] = duty->second->EffectsPendingUntil();
+    terms_of_former_duties_[group] = duty->second->KnownTerm();
   }
   duties_.erase(group);
   if (auto* it = FindGroup(group)) {
--- a/kingcuplock/gateway/gateway_restored_store_test.cc
+++ b/kingcuplock/gateway/gateway_restored_store_test.cc
@@ -82,6 +82,33 @@
   CHECK(fixture.FindViolations().empty());
 }
 
+// Guards against a group without grants after a restore: the holder of the duty
+// forgot what it knew of the primary, and a lost member can't tell it.
+TEST_CASE(
+    "The holder goes on granting after a restore while a member is lost") {
+  GatewayFixture fixture({.gateways = 3, .group = {.fenced = false}});
+  fixture.RunFor(Milliseconds(3000));
+  fixture.SetUnresponsive("m3", true);
+  fixture.RunFor(Milliseconds(1000));
+  const auto client = fixture.OpenClient(0, "db-primary");
+  fixture.RunFor(Milliseconds(100));
+  fixture.SendClientStatement(client, "w1", StatementKind::kWrite, "a 1");
+  fixture.RunFor(Milliseconds(300));
+  REQUIRE(fixture.CountSuccessfulStatements() == 1);
+  fixture.RestoreStore(Milliseconds(2500), Milliseconds(1500));
+  // The renewals, one every 900 ms, tell of the restore.
+  fixture.RunFor(Milliseconds(1200));
+  for (auto n = 0; n < 10; ++n) {
+    const auto write = fixture.SendClientStatement(
+        client, "w2" + std::to_string(n), StatementKind::kWrite, "a 2");
+    fixture.RunFor(Milliseconds(100));
+    const auto* answer = fixture.FindAnswer(write);
+    REQUIRE(answer != nullptr);
+    CHECK(answer->IsOk());
+  }
+  CHECK(fixture.FindViolations().empty());
+}
+
 TEST_SUITE_END();
 
 }  // namespace
--- a/kingcuplock/gateway/promotion_duty.h
+++ b/kingcuplock/gateway/promotion_duty.h
@@ -114,6 +114,10 @@
     return permit_.EffectsPendingUntil(timers_.Now(), ordering);
   }
 
+  /// Returns the newest term of the group if this duty knows that no promotion
+  /// to a later one can have been ordered; nullopt otherwise.
+  auto KnownTerm() const -> std::optional<std::int64_t>;
+
   /// Returns whether the primary is suspected, or a promotion is being prepared
   /// or carried out.
   auto IsPromoting() const -> bool {
--- a/kingcuplock/gateway/promotion_grants.cc
+++ b/kingcuplock/gateway/promotion_grants.cc
@@ -98,6 +98,12 @@
          });
 }
 
+auto PromotionDuty::KnownTerm() const -> std::optional<std::int64_t> {
+  const auto settled =
+      exclusive_ && KnowsPrimary() && EffectsPendingUntil() <= timers_.Now();
+  return settled ? std::optional(group_.primary().term()) : std::nullopt;
+}
+
 auto PromotionDuty::CheckMembers() -> void {
   const auto now = timers_.Now();
   const auto seen = group_.LastPromotionSeen();
--- a/kingcuplock/ownership/ownership_keeper.cc
+++ b/kingcuplock/ownership/ownership_keeper.cc
@@ -233,6 +233,7 @@
 void OwnershipKeeper::TakeOver(const std::string& database) {
   auto& entry = entries_.at(database);
   OwnerRecord next = entry.record.value_or(OwnerRecord{});
+  entry.continues_ownership = entry.record_before_restore.has_value();
   if (entry.record_before_restore) {
     next = *entry.record_before_restore;
   } else if (IsOfEarlierEra(next)) {
@@ -594,6 +595,12 @@
   return it != entries_.end() && it->second.owned;
 }
 
+auto OwnershipKeeper::ContinuesOwnership(std::string_view database) const
+    -> bool {
+  const auto it = entries_.find(database);
+  return it != entries_.end() && it->second.continues_ownership;
+}
+
 auto OwnershipKeeper::IsHeld(std::string_view database) const -> bool {
   const auto it = entries_.find(database);
   return it != entries_.end() && !IsVacant(it->second);
--- a/kingcuplock/ownership/ownership_keeper.h
+++ b/kingcuplock/ownership/ownership_keeper.h
@@ -147,6 +147,11 @@
   /// Returns whether this instance owns the database.
   auto Owns(std::string_view database) const -> bool;
 
+  /// Returns whether this instance's last takeover of the database continued
+  /// its own ownership from before a restore of the store, with no other owner
+  /// in between.
+  auto ContinuesOwnership(std::string_view database) const -> bool;
+
   /// Returns whether the record has an owner that may still hold its lease, as
   /// far as this instance has seen.
   auto IsHeld(std::string_view database) const -> bool;
@@ -190,6 +195,8 @@
     /// until it learned that the store was restored. It is newer than anything
     /// that the store holds of an earlier era.
     std::optional<OwnerRecord> record_before_restore;
+    /// Whether the last takeover was from `record_before_restore`.
+    bool continues_ownership = false;
     /// Since when this instance may take the database.
     std::optional<Time> vacant_since;
     std::optional<QueuedWrite> queued;
