Member connections: a retired pool outlives the report of its last statement

Cause: a retired pool is held only by the statements that still run on it. When the pool itself ends the last one, for its deadline, the callback frees the pool, and the pool goes on to use its members.

Fix: the functions that end statements hold the pool while they run.

The test 'A retired pool outlives the report of its last statement' plays it; without an address sanitizer it need not fail on the code before, and whether it did was not shown. Ruled out: a timer that re-arms without time passing; SIGSTOP of the schedule.

--- a/kingcuplock/gateway/member_connection_pool.cc
+++ b/kingcuplock/gateway/member_connection_pool.cc
@@ -274,6 +274,7 @@
 }
 
 auto MemberConnectionPool::Discard(ConnectionId id) -> void {
+  const auto keep_alive = weak_from_this().lock();
   if (connections_.contains(id)) {
     out_.Add(CloseStream{id});
     Remove(id);
@@ -344,6 +345,7 @@
 
 auto MemberConnectionPool::OnAnswer(ConnectionId id,
                                     const StatementAnswer& answer) -> bool {
+  const auto keep_alive = weak_from_this().lock();
   const auto it = connections_.find(id);
   if (it == connections_.end()) {
     return false;
@@ -419,6 +421,7 @@
 }
 
 auto MemberConnectionPool::OnClosed(ConnectionId id, Reach reason) -> bool {
+  const auto keep_alive = weak_from_this().lock();
   const auto it = connections_.find(id);
   if (it == connections_.end()) {
     return false;
@@ -559,6 +562,7 @@
 }
 
 auto MemberConnectionPool::CheckForSilence() -> void {
+  const auto keep_alive = weak_from_this().lock();
   silence_timer_ = 0;
   DiscardOverdue();
   const auto oldest = OldestUnanswered();
--- a/kingcuplock/gateway/member_connection_pool.h
+++ b/kingcuplock/gateway/member_connection_pool.h
@@ -67,8 +67,11 @@
   kControl
 };
 
-/// Connections of this instance to one member. Not thread safe.
-class MemberConnectionPool {
+/// Connections of this instance to one member. Not thread safe. After Retire(),
+/// only the statements that still run may hold the pool; it outlives the report
+/// of the last one's end.
+class MemberConnectionPool
+    : public std::enable_shared_from_this<MemberConnectionPool> {
  public:
   /// `entry` names the member and its address. `timers` and `out` have to
   /// outlive the pool.
--- a/kingcuplock/gateway/member_connection_pool_test.cc
+++ b/kingcuplock/gateway/member_connection_pool_test.cc
@@ -240,5 +240,33 @@
   CHECK(fixture.pool.in_flight_limit().in_flight() == 0);
 }
 
+// Guards against the use of a pool that is gone: its member was dropped, and
+// the end of its last statement, which the pool reports, frees it.
+TEST_CASE("A retired pool outlives the report of its last statement") {
+  TimerService timers;
+  GatewayOutbox out;
+  auto pool = std::make_shared<MemberConnectionPool>(
+      EndpointEntry{"m1", "g", "10.0.0.1", 80}, timers, out,
+      MemberConnectionPoolCallbacks{[] {}, [](Reach) {}});
+  pool->SetLimits({.max_idle = 1, .max_connections = 2});
+  pool->Start();
+  const auto actions = out.Take();
+  const auto link = std::get<OpenMemberConnection>(actions.at(0)).link;
+  pool->OnOpened(link);
+  pool->OnAnswer(link, {});
+  const auto lent = pool->Acquire({}, nullptr, ConnectionUse::kStatement);
+  REQUIRE(lent == link);
+  auto ended = false;
+  pool->RunStatement(
+      lent, {}, [&ended, pool](const StatementAnswer*) { ended = true; },
+      Milliseconds(100));
+  pool->Retire();
+  const std::weak_ptr<MemberConnectionPool> seen = pool;
+  pool.reset();
+  timers.AdvanceTo(timers.Now() + Milliseconds(400));
+  CHECK(ended);
+  CHECK(seen.expired());
+}
+
 }  // namespace
 }  // namespace kingcuplock
