Promotion duty: log what each member answered to a pause

Event 739 gives the term that was asked for beside the member's own term and the term of the pause in its answer.

--- a/kingcuplock/base/log.cc
+++ b/kingcuplock/base/log.cc
@@ -105,6 +105,7 @@
     {kPromotionDelayed, kInfo, "promotion waits"},
     {kPromotionDutyExclusive, kInfo, "promotion duty is exclusive"},
     {kReplacedPrimaryDemoted, kInfo, "replaced primary demoted"},
+    {kMemberPauseAnswered, kInfo, "member answered a pause"},
     {kRoutesInForce, kInfo, "route table in force"},
     {kRoutesRejected, kError, "route table rejected"},
     {kSettingsReloaded, kInfo, "settings read again"},
--- a/kingcuplock/base/log.h
+++ b/kingcuplock/base/log.h
@@ -75,6 +75,7 @@
   kPromotionDelayed = 736,
   kPromotionDutyExclusive = 737,
   kReplacedPrimaryDemoted = 738,
+  kMemberPauseAnswered = 739,
   kRoutesInForce = 740,
   kRoutesRejected = 741,
   kSettingsReloaded = 742,
--- a/kingcuplock/gateway/promotion_duty.cc
+++ b/kingcuplock/gateway/promotion_duty.cc
@@ -232,12 +232,29 @@
   for (const auto& it : asked) {
     group_.RequestMemberStatus(
         it, pause_term,
-        guard_.Bind([this, it, attempt = attempt_](const MemberReport* status) {
+        guard_.Bind([this, it, pause_term,
+                     attempt = attempt_](const MemberReport* status) {
+          if (pause_term != 0) {
+            LogPauseAnswered(it, pause_term, status);
+          }
           OnMemberReport(attempt, it, status);
         }));
   }
 }
 
+auto PromotionDuty::LogPauseAnswered(const std::string& member,
+                                     std::int64_t wanted_term,
+                                     const MemberReport* report) -> void {
+  log_.Log(
+      Event::kMemberPauseAnswered,
+      {{"group", group_.config().name},
+       {"member", member},
+       {"wanted_term", std::to_string(wanted_term)},
+       {"term", report != nullptr ? std::to_string(report->term) : "none"},
+       {"paused_term",
+        report != nullptr ? std::to_string(report->paused_term) : "none"}});
+}
+
 auto PromotionDuty::OnMemberReport(std::int64_t attempt,
                                    const std::string& member,
                                    const MemberReport* status) -> void {
--- a/kingcuplock/gateway/promotion_duty.h
+++ b/kingcuplock/gateway/promotion_duty.h
@@ -151,6 +151,9 @@
   auto OnMemberReport(std::int64_t attempt,
                       const std::string& member,
                       const MemberReport* status) -> void;
+  auto LogPauseAnswered(const std::string& member,
+                        std::int64_t wanted_term,
+                        const MemberReport* report) -> void;
   auto ChooseCandidate() -> void;
   // Returns the time in ms since the primary was first suspected.
   auto SuspectedMs() const -> std::int64_t;
