Promotion duty: a pause counts only if the member's answer says it is in effect

Cause: a holder that has just started knows the primary by its entry only, with term 0, and asked the replicas to pause for term 1. They follow term 3, so the request has no effect. Their answers were still counted as pauses, the order was sent 300 ms later, and the reports of members that were not paused went on proving the old primary to the other instances.

Ruled out: the freeze of the holder only hides the symptom's end; with the members paused in time the same freeze does no harm.

Now a pause counts if the term of the pause is above the member's own term in the same answer. Otherwise the holder asks again with a term above all answers. A demotion before a hand-over is treated likewise. The same condition says whether a report is evidence and whether a member was left paused, so a member that is paused for a term that the asking instance knows already is no longer taken for one that is not.

Why nothing here found it: the members of the fixture, of the soak and of the model paused for any term, all groups began at term 1, and the model's new holder knew the current term. All three follow the protocol now; the model has a rule for it and finds the fault without the rule.

--- a/kingcuplock/gateway/promotion_duty.cc
+++ b/kingcuplock/gateway/promotion_duty.cc
@@ -207,37 +207,41 @@
 auto PromotionDuty::CollectReports(std::string_view reason) -> void {
   phase_ = Phase::kCollectingReports;
   reason_ = std::string(reason);
-  ++attempt_;
-  permit_.NoteMembersResumed();
-  log_reports_.BeginAttempt(attempt_);
-  answered_count_ = 0;
   // Paused replicas receive nothing more, so no write that they lack can be
   // acknowledged between their answer and the promotion.
   const auto leaving = reason == "leaving";
   paused_ = group_.config().synchronous_replicas > 0 ||
             (!options_.checks_fencing_tokens && !leaving);
-  const auto pause_term = paused_ ? group_.primary().term() + 1 : 0;
+  pause_term_ = paused_ ? group_.primary().term() + 1 : 0;
   last_resort_ = false;
-  auto asked = FindCandidates();
-  if (asked.empty() && !group_.primary().IsUsable()) {
+  asked_members_ = FindCandidates();
+  if (asked_members_.empty() && !group_.primary().IsUsable()) {
     // A member that is about to leave is better than no primary.
     last_resort_ = true;
-    asked = FindCandidates();
+    asked_members_ = FindCandidates();
   }
-  asked_count_ = asked.size();
-  if (asked.empty()) {
+  if (asked_members_.empty()) {
+    ++attempt_;
     AbandonAttempt("no reachable candidate");
     return;
   }
-  for (const auto& it : asked) {
+  AskMembers();
+}
+
+auto PromotionDuty::AskMembers() -> void {
+  ++attempt_;
+  permit_.NoteMembersResumed();
+  log_reports_.BeginAttempt(attempt_);
+  highest_reported_term_ = 0;
+  answered_count_ = 0;
+  for (const auto& it : asked_members_) {
     group_.RequestMemberStatus(
-        it, pause_term,
-        guard_.Bind([this, it, pause_term,
-                     attempt = attempt_](const MemberReport* status) {
-          if (pause_term != 0) {
-            LogPauseAnswered(it, pause_term, status);
+        it, pause_term_,
+        guard_.Bind([this, it, attempt = attempt_](const MemberReport* status) {
+          if (attempt == attempt_ && phase_ == Phase::kCollectingReports) {
+            LogPauseAnswered(it, pause_term_, status);
+            OnMemberReport(it, status);
           }
-          OnMemberReport(attempt, it, status);
         }));
   }
 }
@@ -245,6 +249,9 @@
 auto PromotionDuty::LogPauseAnswered(const std::string& member,
                                      std::int64_t wanted_term,
                                      const MemberReport* report) -> void {
+  if (wanted_term == 0) {
+    return;
+  }
   log_.Log(
       Event::kMemberPauseAnswered,
       {{"group", group_.config().name},
@@ -255,12 +262,8 @@
         report != nullptr ? std::to_string(report->paused_term) : "none"}});
 }
 
-auto PromotionDuty::OnMemberReport(std::int64_t attempt,
-                                   const std::string& member,
+auto PromotionDuty::OnMemberReport(const std::string& member,
                                    const MemberReport* status) -> void {
-  if (attempt != attempt_ || phase_ != Phase::kCollectingReports) {
-    return;
-  }
   ++answered_count_;
   const auto stale = !options_.checks_fencing_tokens && status != nullptr &&
                      status->is_primary &&
@@ -268,27 +271,36 @@
   if (stale) {
     replaced_primaries_[member] = group_.primary().term();
   } else if (status != nullptr) {
-    if (paused_) {
-      permit_.NoteMemberPaused(member, timers_.Now());
-    }
-    log_reports_.Note(attempt, {member, status->term, status->received});
+    highest_reported_term_ = std::max(highest_reported_term_, status->term);
     if (status->is_primary) {
       // Another holder or a delayed order has promoted it already.
       group_.NotePromotionOrdered(member, status->term);
       AbandonAttempt("a member is already primary");
       return;
     }
+    permit_.NoteMemberPaused(member, *status, timers_.Now());
+    if (!paused_ || status->IsPaused()) {
+      log_reports_.Note(attempt_, {member, status->term, status->received});
+    }
+  }
+  if (answered_count_ < asked_members_.size()) {
+    return;
   }
-  if (answered_count_ == asked_count_) {
-    ChooseCandidate();
+  if (paused_ && highest_reported_term_ >= pause_term_) {
+    // The members know a later term than this instance, as after a restart, and
+    // a pause for an earlier one has no effect.
+    pause_term_ = highest_reported_term_ + 1;
+    AskMembers();
+    return;
   }
+  ChooseCandidate();
 }
 
 auto PromotionDuty::ChooseCandidate() -> void {
   CandidateCriteria criteria;
   criteria.members = max_members_;
   criteria.new_term =
-      std::max(group_.primary().term(), log_reports_.HighestFollowedTerm()) + 1;
+      std::max(group_.primary().term(), highest_reported_term_) + 1;
   criteria.loss_allowed = group_.config().synchronous_replicas == 0;
   const auto choice = log_reports_.Choose(criteria);
   if (choice.verdict != CandidateVerdict::kChosen) {
--- a/kingcuplock/gateway/promotion_duty.h
+++ b/kingcuplock/gateway/promotion_duty.h
@@ -148,9 +148,9 @@
   auto ConfirmSuspicion(std::string_view reason) -> bool;
   auto FindCandidates() const -> std::vector<std::string>;
   auto CollectReports(std::string_view reason) -> void;
-  auto OnMemberReport(std::int64_t attempt,
-                      const std::string& member,
-                      const MemberReport* status) -> void;
+  auto AskMembers() -> void;
+  auto OnMemberReport(const std::string& member, const MemberReport* status)
+      -> void;
   auto LogPauseAnswered(const std::string& member,
                         std::int64_t wanted_term,
                         const MemberReport* report) -> void;
@@ -169,6 +169,8 @@
   auto DemoteReplacedPrimaries() -> void;
   auto ResumeAfterUnresolvedOrders() -> void;
   auto HandOverTo(const std::string& member) -> void;
+  auto RetryHandOver(const std::string& member, std::int64_t reported_term)
+      -> void;
   auto AwaitCatchUp(const std::string& member, LogPosition place) -> void;
   auto PauseAndOrder(const std::string& member) -> void;
   auto OrderWhenPermitted(const std::string& member) -> void;
@@ -228,8 +230,12 @@
   /// Fencing tokens used in the current epoch.
   std::int64_t tokens_used_ = 0;
   /// Members asked in this attempt, and how many of them answered or failed to.
-  std::size_t asked_count_ = 0;
+  std::vector<std::string> asked_members_;
   std::size_t answered_count_ = 0;
+  /// Term for which they are asked to pause, 0 for none.
+  std::int64_t pause_term_ = 0;
+  /// Highest term in their answers.
+  std::int64_t highest_reported_term_ = 0;
   /// Whether members were told to stop receiving.
   bool paused_ = false;
   /// Whether members that are about to leave may be promoted.
--- a/kingcuplock/gateway/promotion_grants.cc
+++ b/kingcuplock/gateway/promotion_grants.cc
@@ -137,8 +137,7 @@
         reported_members_.insert(member);
         cleared_members_.insert(member);
         group_.NoteMemberReport(member, *report);
-        const auto left = report->paused_term > group_.primary().term() &&
-                          phase_ == Phase::kMonitoring;
+        const auto left = report->IsPaused() && phase_ == Phase::kMonitoring;
         if (left && predecessor_term_) {
           group_.ResumeReplication(member);
         } else if (left) {
@@ -231,11 +230,27 @@
                     AbandonAttempt("the leaving primary did not answer");
                     return;
                   }
+                  if (report->is_primary) {
+                    RetryHandOver(member, report->term);
+                    return;
+                  }
                   group_.NoteNotPrimary(primary);
                   AwaitCatchUp(member, report->received);
                 }));
 }
 
+// A primary ignores a demotion, and a replica a pause, for a term that it has
+// reached.
+auto PromotionDuty::RetryHandOver(const std::string& member,
+                                  std::int64_t reported_term) -> void {
+  if (reported_term < ordered_term_) {
+    AbandonAttempt("a member did not follow the hand-over");
+    return;
+  }
+  ordered_term_ = reported_term + 1;
+  HandOverTo(member);
+}
+
 auto PromotionDuty::AwaitCatchUp(const std::string& member, LogPosition place)
     -> void {
   group_.RequestMemberStatus(
@@ -268,11 +283,16 @@
             if (attempt != attempt_ || phase_ != Phase::kHandingOver) {
               return;
             }
+            LogPauseAnswered(member, ordered_term_, report);
             if (report == nullptr) {
               AbandonAttempt("the successor did not answer");
               return;
             }
-            permit_.NoteMemberPaused(member, timers_.Now());
+            if (!report->IsPaused()) {
+              RetryHandOver(member, report->term);
+              return;
+            }
+            permit_.NoteMemberPaused(member, *report, timers_.Now());
             OrderWhenPermitted(member);
           }));
 }
--- a/kingcuplock/grants/grant_rules.h
+++ b/kingcuplock/grants/grant_rules.h
@@ -24,6 +24,9 @@
   /// The report of a paused member is no evidence for the primary, because the
   /// member may be about to replace it.
   static constexpr bool kRejectPausedReports = true;
+  /// A member counts as paused only if its answer says that the pause is in
+  /// effect.
+  static constexpr bool kRequireEffectivePause = true;
   /// Evidence requires a report from every other member.
   static constexpr bool kRequireAllReports = true;
   /// A new holder waits until its predecessor can no longer order or grant.
@@ -41,6 +44,7 @@
   { T::kCountFromRequest } -> std::convertible_to<bool>;
   { T::kWaitForGrantExpiry } -> std::convertible_to<bool>;
   { T::kRejectPausedReports } -> std::convertible_to<bool>;
+  { T::kRequireEffectivePause } -> std::convertible_to<bool>;
   { T::kRequireAllReports } -> std::convertible_to<bool>;
   { T::kWaitForPredecessor } -> std::convertible_to<bool>;
   { T::kRequireValidLease } -> std::convertible_to<bool>;
--- a/kingcuplock/grants/grants_test.cc
+++ b/kingcuplock/grants/grants_test.cc
@@ -87,7 +87,7 @@
   told.NoteSteppedDown(kNow + Milliseconds(10));
   CHECK(told.MayGrant("m1", kNow + Milliseconds(10), forever));
   // The predecessor's grants may still be valid.
-  told.NoteMemberPaused("m2", kNow + Milliseconds(10));
+  told.NoteMemberPaused("m2", ReplicaReport(3, 4), kNow + Milliseconds(10));
   CHECK(told.EarliestOrderTime("m2") ==
         kNow + Milliseconds(10) + kGrantDuration - kMinPromotionTime);
 }
@@ -108,17 +108,20 @@
   PromotionPermit<> permit(kNow, kNow, kNow);
   const auto later = kNow + Milliseconds(5000);
   CHECK(permit.EarliestOrderTime("m2") == Time::max());
-  permit.NoteMemberPaused("m2", later);
+  permit.NoteMemberPaused("m2", ReplicaReport(3, 4), later);
   CHECK(permit.EarliestOrderTime("m2") ==
         later + kGrantDuration - kMinPromotionTime);
   permit.NoteMembersResumed();
   CHECK(permit.EarliestOrderTime("m2") == Time::max());
+  // A pause for a term that the member has reached has no effect.
+  permit.NoteMemberPaused("m2", ReplicaReport(3, 0), later);
+  CHECK(permit.EarliestOrderTime("m2") == Time::max());
 }
 
 TEST_CASE("Nothing is granted or ordered once the lease may have lapsed") {
   PromotionPermit<> permit(kNow, kNow, kNow);
   const auto late = kNow + Milliseconds(5000);
-  permit.NoteMemberPaused("m2", kNow);
+  permit.NoteMemberPaused("m2", ReplicaReport(3, 4), kNow);
   CHECK(permit.MayOrder("m2", late, late + Milliseconds(1)));
   CHECK_FALSE(permit.MayOrder("m2", late, late));
   CHECK_FALSE(permit.MayGrant("m1", late, late));
@@ -128,8 +131,8 @@
   PromotionPermit<> permit(kNow, kNow, kNow);
   const auto forever = Time::max();
   const auto later = kNow + Milliseconds(1000);
-  permit.NoteMemberPaused("m2", kNow);
-  permit.NoteMemberPaused("m3", kNow);
+  permit.NoteMemberPaused("m2", ReplicaReport(3, 4), kNow);
+  permit.NoteMemberPaused("m3", ReplicaReport(3, 4), kNow);
   permit.NoteUnresolvedOrder("m2", later);
   CHECK(permit.MayOrder("m2", later, forever));
   CHECK_FALSE(permit.MayOrder("m3", later, forever));
--- a/kingcuplock/grants/primary_evidence.h
+++ b/kingcuplock/grants/primary_evidence.h
@@ -57,8 +57,7 @@
     // one of an earlier term does not disprove the current primary.
     const auto leads = report->is_primary && report->term >= grant_.term;
     const auto newer = report->term > grant_.term;
-    const auto paused =
-        Rules::kRejectPausedReports && report->paused_term > grant_.term;
+    const auto paused = Rules::kRejectPausedReports && report->IsPaused();
     refuted_ = refuted_ || leads || newer || paused;
   }
 
--- a/kingcuplock/grants/promotion_permit.h
+++ b/kingcuplock/grants/promotion_permit.h
@@ -9,7 +9,7 @@
 /// Example:
 ///   PromotionPermit<> permit(now, now + ttl, now);
 ///   if (permit.MayGrant("m-1", now, lease_valid_until)) { SendGrant("m-1"); }
-///   permit.NoteMemberPaused("m-2", now);
+///   permit.NoteMemberPaused("m-2", report, now);
 ///   if (permit.MayOrder("m-2", now, lease_valid_until)) { SendOrder("m-2"); }
 
 #include <algorithm>
@@ -19,6 +19,7 @@
 #include "kingcuplock/base/timer_service.h"
 #include "kingcuplock/grants/grant_rules.h"
 #include "kingcuplock/grants/primary_grant.h"
+#include "kingcuplock/statement/statement.h"
 
 namespace kingcuplock {
 
@@ -70,10 +71,15 @@
            HasNoOtherUnresolvedOrder(primary, now);
   }
 
-  /// Records that `member` confirmed at `now` that it is paused for the next
-  /// promotion. The holder must not have granted since it sent that request.
-  auto NoteMemberPaused(const std::string& member, Time now) -> void {
-    paused_since_[member] = now;
+  /// Records `report`, the answer of `member` at `now` to a request to pause
+  /// for the next promotion. Ignores it if the pause has no effect. The holder
+  /// must not have granted since it sent that request.
+  auto NoteMemberPaused(const std::string& member,
+                        const MemberReport& report,
+                        Time now) -> void {
+    if (report.IsPaused() || !Rules::kRequireEffectivePause) {
+      paused_since_[member] = now;
+    }
   }
 
   /// Records that the members receive again, or are about to be asked anew.
--- a/kingcuplock/statement/statement.h
+++ b/kingcuplock/statement/statement.h
@@ -108,6 +108,10 @@
   std::int64_t busy = 0;
   /// Number of open connections.
   std::int64_t connections = 0;
+
+  /// Returns whether replication is stopped. A kPause for a term that the
+  /// member has reached has no effect.
+  auto IsPaused() const -> bool { return paused_term > term; }
 };
 
 /// Answer to one statement, or the hello that a member sends on a new
--- a/proofs/grant_model/grant_model.h
+++ b/proofs/grant_model/grant_model.h
@@ -228,8 +228,7 @@
                                         promoted_at_);
     }
     for (std::size_t m = 0; m < kMembers; ++m) {
-      if (members_[m].paused_term > holder.term &&
-          !members_[m].acts_as_primary) {
+      if (MakeReport(members_[m]).IsPaused() && !members_[m].acts_as_primary) {
         holder.permit.NoteUnresolvedOrder(MemberName(m),
                                           holder.permit.ExclusiveFrom());
       }
@@ -268,12 +267,8 @@
         continue;
       }
       SendMessage([this, instance, it, evidence] {
-        const auto& member = members_[MemberIndex(it)];
-        MemberReport report;
-        report.is_primary = member.acts_as_primary;
-        report.term = member.term;
-        report.paused_term = member.paused_term;
-        SendMessage([this, instance, it, evidence, report] {
+        SendMessage([this, instance, it, evidence,
+                     report = MakeReport(members_[MemberIndex(it)])] {
           evidence->NoteReport(it, &report);
           TakeGrantFromEvidence(instance, *evidence);
         });
@@ -330,8 +325,13 @@
         PromotionPermit<Rules>(now_, is_first ? now_ : now_ + kLeaseDuration,
                                effects_end_[holder_index]);
     holder.lease_valid_until = now_ + kLeaseDuration;
-    holder.primary = current_primary_;
-    holder.term = members_[current_primary_].term;
+    if (OneIn(3)) {
+      // The process has just started and knows no term.
+      holder.term = 0;
+    } else {
+      holder.primary = current_primary_;
+      holder.term = members_[current_primary_].term;
+    }
     current_holder_ = holder_index;
     AddToTrace("holder " + std::to_string(holder_index) + " acquires the duty");
   }
@@ -386,7 +386,9 @@
         now_ < holder.permit.ExclusiveFrom() || !OneIn(2)) {
       return;
     }
-    UpdateKnownPrimary(holder);
+    if (!OneIn(3)) {
+      UpdateKnownPrimary(holder);
+    }
     holder.promoting = true;
     holder.candidate =
         (holder.primary + 1 + RandomBelow(kMembers - 1)) % kMembers;
@@ -397,23 +399,43 @@
         holder.candidate = m;
       }
     }
-    const auto candidate = holder.candidate;
-    const auto attempt = ++last_attempt_;
-    holder.attempt = attempt;
+    holder.attempt = ++last_attempt_;
     holder.permit.NoteMembersResumed();
-    const auto term = holder.term + 1;
+    SendPause(holder_index, holder.term + 1);
+  }
+
+  // Asks the candidate to pause for `term`, and again for a later one if it has
+  // reached that term.
+  auto SendPause(std::size_t holder_index, std::int64_t term) -> void {
+    const auto candidate = holders_[holder_index].candidate;
+    const auto attempt = holders_[holder_index].attempt;
     SendMessage([this, holder_index, candidate, attempt, term] {
-      members_[candidate].paused_term = term;
-      SendMessage([this, holder_index, candidate, attempt] {
-        if (holders_[holder_index].attempt == attempt &&
-            holders_[holder_index].active) {
-          holders_[holder_index].permit.NoteMemberPaused(MemberName(candidate),
-                                                         now_);
+      auto& member = members_[candidate];
+      if (!member.acts_as_primary && term > member.term) {
+        member.paused_term = term;
+      }
+      SendMessage([this, holder_index, candidate, attempt,
+                   report = MakeReport(member)] {
+        auto& holder = holders_[holder_index];
+        if (holder.attempt != attempt || !holder.active || report.is_primary) {
+          return;
+        }
+        holder.permit.NoteMemberPaused(MemberName(candidate), report, now_);
+        if (!report.IsPaused()) {
+          SendPause(holder_index, report.term + 1);
         }
       });
     });
   }
 
+  static auto MakeReport(const Member& member) -> MemberReport {
+    MemberReport report;
+    report.is_primary = member.acts_as_primary;
+    report.term = member.term;
+    report.paused_term = member.paused_term;
+    return report;
+  }
+
   auto TryOrderPromotion(std::size_t holder_index) -> void {
     auto& holder = holders_[holder_index];
     if (!holder.active || !holder.promoting || holder.order_in_flight ||
--- a/proofs/grant_model/grant_model_test.cc
+++ b/proofs/grant_model/grant_model_test.cc
@@ -48,6 +48,12 @@
   CHECK(FindsFault<WithoutRejectPausedReports>());
 }
 
+// Guards against a holder that does not know the term, as after a restart: the
+// members follow a later one and are not paused.
+TEST_CASE("Fault found if a pause without effect counts") {
+  CHECK(FindsFault<WithoutEffectivePause>());
+}
+
 TEST_CASE("Fault found if evidence lacks the report of a member") {
   CHECK(FindsFault<WithoutAllReports>());
 }
--- a/proofs/grant_model/grant_rule_sets.h
+++ b/proofs/grant_model/grant_rule_sets.h
@@ -20,6 +20,9 @@
 struct WithoutRejectPausedReports : AllGrantRules {
   static constexpr bool kRejectPausedReports = false;
 };
+struct WithoutEffectivePause : AllGrantRules {
+  static constexpr bool kRequireEffectivePause = false;
+};
 struct WithoutAllReports : AllGrantRules {
   static constexpr bool kRequireAllReports = false;
 };
--- a/soak/platform_standin.py
+++ b/soak/platform_standin.py
@@ -152,15 +152,16 @@
 
     `fenced`: whether a replaced primary stops at once. If not, it serves for DEMOTION_DELAY_S longer, and a promotion
     call with a lower fencing token than an earlier one is a violation; with fencing it is only refused.
+    `first_term`: term of the first primary.
     """
 
-    def __init__(self, name, members, connections, fenced):
+    def __init__(self, name, members, connections, fenced, first_term):
         self.name = name
         self.fenced = fenced
         self.connections = connections
         self.members = {it: Member(it, self) for it in members}
         self.primary = members[0]
-        self.term = 1
+        self.first_term = self.term = first_term
         self.log = []  # (position, time, [statement id of each write])
         self.discarded_commits = []  # entries of the log that a promoted member did not have
         self.executions = []
@@ -172,7 +173,7 @@
 
     def position_at(self, count):
         """Returns the position of the log's first `count` entries."""
-        return self.log[count - 1][0] if count else (1, 0)
+        return self.log[count - 1][0] if count else (self.first_term, 0)
 
     def count_applied(self, member):
         """Returns how many entries of the log the member has applied by now."""
@@ -281,6 +282,11 @@
             self.group.primary = ""
             self.applied_count = len(self.group.log)
 
+    def pause(self, term):
+        """Stops receiving ahead of a promotion. Without effect for a term that the member has reached."""
+        if not self.is_primary() and term > self.term():
+            self.paused = term
+
     def crash(self):
         self.up = False
         self.paused = self.stale_primary_until = 0
@@ -371,8 +377,10 @@
         elif verb in ("STATUS", "PAUSE", "RESUME", "DEMOTE"):
             if verb == "DEMOTE":
                 self.demote(int(words[1]))
-            elif verb != "STATUS":
-                self.paused = int(words[1]) if verb == "PAUSE" else 0
+            elif verb == "PAUSE":
+                self.pause(int(words[1]))
+            elif verb == "RESUME":
+                self.paused = 0
             role = "primary" if self.is_primary() else "replica"
             return [f"ROW {role} {self.term()} {self.position()} {self.paused} 1 1 {self.open_connections}",
                     "DONE -"], False
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -130,7 +130,7 @@
         self.store = Store()
         self.store_modes = {}
         self.cloud_mode = "up"
-        self.group = Group(SERVICE, ["i-1", "i-2", "i-3"], 4 * options.gateways, not options.unfenced)
+        self.group = Group(SERVICE, ["i-1", "i-2", "i-3"], 4 * options.gateways, not options.unfenced, 1 + seed % 4)
         self.violations = []
         # Statement id: (text, session values, route, send time of the statement or of its BEGIN, session,
         # text of the executed prepared statement or None).
@@ -542,7 +542,7 @@
         violations.append(f"only {test_bed.success_count} statements succeeded; at least "
                           f"{options.clients * options.seconds} are expected (one per client and second)")
     print(f"seed {seed}: {test_bed.success_count} ok, {len(test_bed.group.executions)} runs, "
-          f"{test_bed.group.term - 1} promotions, {len(test_bed.group.discarded_commits)} commits cut off, "
+          f"{test_bed.group.term - test_bed.group.first_term} promotions, {len(test_bed.group.discarded_commits)} commits cut off, "
           f"{memory_mb:.0f} MB, {len(violations)} broken", flush=True)
     for it in violations[:8]:
         print(f"  {it}", flush=True)
--- a/standin/statements/statement_group.cc
+++ b/standin/statements/statement_group.cc
@@ -27,9 +27,10 @@
     : name_(std::move(name)),
       names_(std::move(members)),
       options_(options),
-      primary_(names_.front()) {
+      primary_(names_.front()),
+      term_(options.first_term) {
   for (const auto& it : names_) {
-    members_[it];
+    members_[it].term = term_;
   }
 }
 
@@ -109,7 +110,8 @@
 }
 
 auto StatementGroup::PositionAfter(std::size_t commits) const -> LogPosition {
-  return commits == 0 ? LogPosition{1, 0} : commits_[commits - 1].place;
+  return commits == 0 ? LogPosition{options_.first_term, 0}
+                      : commits_[commits - 1].place;
 }
 
 auto StatementGroup::HasApplied(const Member& member, LogPosition place) const
@@ -214,10 +216,10 @@
     case StatementKind::kDemote: {
       if (statement.kind == StatementKind::kDemote) {
         Demote(session.member, std::stoll(statement.arguments));
-      } else if (statement.kind != StatementKind::kStatus) {
-        member.paused_term = statement.kind == StatementKind::kPause
-                                 ? std::stoll(statement.arguments)
-                                 : 0;
+      } else if (statement.kind == StatementKind::kPause) {
+        Pause(session.member, std::stoll(statement.arguments));
+      } else if (statement.kind == StatementKind::kResume) {
+        member.paused_term = 0;
       }
       StatementAnswer answer;
       answer.status = MakeReport(session.member);
@@ -306,7 +308,7 @@
   report.term = it.term;
   report.received =
       it.replaced_at
-          ? (it.own_log.empty() ? LogPosition{1, 0} : it.own_log.back().place)
+          ? (it.own_log.empty() ? PositionAfter(0) : it.own_log.back().place)
           : PositionAfter(it.received);
   report.paused_term = it.paused_term;
   return report;
@@ -327,6 +329,16 @@
   }
 }
 
+// A pause takes effect only for a term above the newest one that the member
+// knows, and never at a primary.
+auto StatementGroup::Pause(const std::string& member, std::int64_t term)
+    -> void {
+  auto& it = members_.at(member);
+  if (!IsActingPrimary(member) && term > it.term) {
+    it.paused_term = term;
+  }
+}
+
 auto StatementGroup::RequestPromotion(const std::string& member,
                                       std::int64_t fencing_token,
                                       Time now) -> PromotionOrderOutcome {
--- a/standin/statements/statement_group.h
+++ b/standin/statements/statement_group.h
@@ -32,6 +32,8 @@
   Duration apply_lag{Milliseconds(20)};
   /// Time from an accepted promotion order until the member is the primary.
   Duration promotion_time{Milliseconds(1000)};
+  /// Term of the first primary.
+  std::int64_t first_term = 1;
   /// Connections that a member accepts at once.
   std::int64_t connections = 16;
   /// Whether orders with an older fencing token than the last are refused, and
@@ -73,7 +75,7 @@
 /// otherwise.
 class StatementGroup {
  public:
-  /// The first of `members` is the primary of term 1.
+  /// The first of `members` is the primary of the first term.
   StatementGroup(std::string name,
                  std::vector<std::string> members,
                  StatementGroupOptions options);
@@ -193,6 +195,7 @@
               const std::string& shape,
               Time now) -> void;
   auto Demote(const std::string& member, std::int64_t term) -> void;
+  auto Pause(const std::string& member, std::int64_t term) -> void;
   auto MakeReport(const std::string& member) const -> MemberReport;
 
   std::string name_;
@@ -205,7 +208,7 @@
   std::vector<StatementCommit> divergent_commits_;
   std::vector<StatementRun> runs_;
   std::string primary_;
-  std::int64_t term_ = 1;
+  std::int64_t term_;
   std::int64_t last_fencing_token_ = 0;
   /// Member to promote, and when.
   std::optional<std::pair<std::string, Time>> pending_promotion_;
