Ownership: a new lease makes all databases candidates for a takeover

Callers waited for up to a lease's time (3 s) longer for a new primary: an instance that restarted did not take its own duty back at once if its lease was granted after the record and the routes had been read. The record was then evaluated once without an own lease, found to be held, and not looked at again until the old lease ended.

--- a/kingcuplock/ownership/ownership_keeper.cc
+++ b/kingcuplock/ownership/ownership_keeper.cc
@@ -572,6 +572,10 @@
 void OwnershipKeeper::OnOwnLeaseChanged(std::int64_t lease) {
   if (lease != 0) {
     existing_leases_.insert(lease);
+    // Records of an earlier run of this instance can be taken over from now on.
+    for (const auto& [name, entry] : entries_) {
+      candidates_.insert(name);
+    }
     return;
   }
   for (auto& [name, entry] : entries_) {
