Promotion duty: an order is recorded in the store before it is sent

A restarted holder knew nothing of its earlier run's order, confirmed to its successor that it could act no more, or took the term in its released record for the newest; either way the members were resumed and the old primary was granted while the order was open.

Cause: that an order may be open was kept in the holder's memory and in the members' pauses only. Both end with a restart of the process that has them.

Now the ownership record holds the member that may have been ordered. It is written before the order is sent (during the wait for old evidence, so an undisturbed promotion is not delayed), survives takeovers and restarts, and is cleared once no order can be carried out any more. Whoever takes the duty treats that order as unresolved; a confirmation of a former holder that has restarted says nothing about it. After a restore of the store the new record says that orders are unknown, and nothing is granted or ordered for as long as one may be open. If no order is recorded, paused members are resumed at once: before, they counted as possibly ordered, for 6 s.

Found on the way and closed with it: a holder whose lease had lapsed could resume members that its successor had paused; a wait for the permit went on after the duty had begun to be released; reports from before an order had expired counted after it.

Ruled out: inferring open orders from the members' reports alone. A member that has restarted looks like one that was never paused.

The three new tests of gateway_open_order_test failed before. grant_model walks with restarting holders; it finds the fault without the new rule and none with it.

--- a/kingcuplock/gateway/gateway_duty.cc
+++ b/kingcuplock/gateway/gateway_duty.cc
@@ -44,15 +44,25 @@
   callbacks.lease_valid_until = [this] {
     return duty_ownership_.LeaseValidUntil();
   };
+  callbacks.record_order = [this](const std::string& name,
+                                  const std::string& member, std::int64_t term,
+                                  std::function<void(bool)> callback) {
+    duty_ownership_.RecordOrder(name, member, term, std::move(callback));
+  };
   callbacks.send_step_down = [this, group](const std::string& holder,
                                            std::int64_t epoch) {
     peers_.Send(holder, StepDown{settings_.instance, group, epoch});
   };
   PromotionDutyOptions options;
   options.epoch = record.epoch;
-  options.term = duty_ownership_.ContinuesOwnership(group)
-                     ? terms_of_former_duties_[group].value_or(0)
-                     : record.term;
+  options.term = record.term;
+  if (const auto known = terms_of_former_duties_[group];
+      known && duty_ownership_.ContinuesOwnership(group)) {
+    options.term = std::max(options.term, *known);
+    options.orders_resolved = true;
+  }
+  options.recorded_order = record.ordered;
+  options.orders_unknown = record.orders_unknown;
   options.predecessor = record.previous;
   options.own_orders_pending_until = unsettled_until_[group];
   options.predecessor_lease = Milliseconds(settings_.timing.lease_ttl_ms);
@@ -196,10 +206,13 @@
   duty_ownership_.StepDown(message.group, message.epoch);
   if (!duties_.contains(message.group) &&
       timers_.Now() >= unsettled_until_[message.group]) {
-    const auto* group = FindGroup(message.group);
-    shell_.Send(source,
-                SteppedDown{settings_.instance, message.group, message.epoch,
-                            group != nullptr ? group->primary().term() : 0});
+    // After a restart, nothing is known of the orders of the earlier run.
+    const auto former = terms_of_former_duties_.find(message.group);
+    const auto known = former != terms_of_former_duties_.end()
+                           ? former->second.value_or(0)
+                           : 0;
+    shell_.Send(source, SteppedDown{settings_.instance, message.group,
+                                    message.epoch, known});
   }
 }
 
--- a/kingcuplock/gateway/gateway_open_order_test.cc
+++ b/kingcuplock/gateway/gateway_open_order_test.cc
@@ -100,5 +100,94 @@
   }
 }
 
+// Guards against a holder that takes over without knowing of an open order: the
+// former holder was killed, and its next run confirms that it acts no more.
+TEST_CASE("A restarted holder's open order is known to its successor") {
+  GatewayFixture world(UnfencedOptions());
+  world.RunFor(kStart);
+  Writers writers(world);
+  writers.Run(Milliseconds(300));
+  const auto holder = world.PromotionDutyHolder();
+  world.LosePromotionAnswers(Milliseconds(4800));
+  world.CrashMember("m1");
+  REQUIRE(writers.Run(Milliseconds(5000),
+                      [&] { return !world.OrderFencingTokens().empty(); }));
+  world.LosePromotionAnswers(std::nullopt);
+  world.KillGateway(holder);
+  writers.Run(Milliseconds(2000));
+  world.RestartMember("m1");
+  writers.Run(Milliseconds(1300));
+  world.StartGateway(holder);
+  writers.Run(Milliseconds(12'000));
+  CHECK(world.PromotionDutyHolder() != holder);
+  CHECK(world.group().CountPromotions() > 0);
+  CHECK(world.FindViolations().empty());
+}
+
+// Guards against a holder that forgets its own open order by a restart: the
+// term that an earlier, planned stop left in the record is taken for the
+// newest.
+TEST_CASE("A restarted holder knows its open order after a release") {
+  GatewayFixture world(UnfencedOptions());
+  world.RunFor(kStart);
+  Writers writers(world);
+  for (std::size_t n = 0; n < 3; ++n) {
+    world.StopGateway(n);
+    writers.Run(Milliseconds(6500), [&] { return world.IsStopped(n); });
+    world.KillGateway(n);
+    world.RunFor(Milliseconds(200));
+    world.StartGateway(n);
+    writers.Run(Milliseconds(1500));
+  }
+  const auto holder = world.PromotionDutyHolder();
+  world.LosePromotionAnswers(Milliseconds(3500));
+  world.CrashMember("m1");
+  REQUIRE(writers.Run(Milliseconds(5000),
+                      [&] { return !world.OrderFencingTokens().empty(); }));
+  world.LosePromotionAnswers(std::nullopt);
+  world.KillGateway(holder);
+  writers.Run(Milliseconds(1200));
+  world.RestartMember("m1");
+  writers.Run(Milliseconds(300));
+  world.StartGateway(holder);
+  writers.Run(Milliseconds(12'000));
+  CHECK(world.group().CountPromotions() > 0);
+  CHECK(world.FindViolations().empty());
+}
+
+// Guards against waiting for an order that was never sent: the holder is killed
+// while the members are paused, and the record shows that no order is open.
+TEST_CASE("Members left paused without an order are resumed at once") {
+  GatewayFixture world(UnfencedOptions());
+  world.RunFor(kStart);
+  Writers writers(world);
+  writers.Run(Milliseconds(300));
+  const auto holder = world.PromotionDutyHolder();
+  const auto paused = CountEvents(world, Event::kMemberPauseAnswered);
+  // The order can't be recorded.
+  world.SetStoreUp(false);
+  world.CrashMember("m1");
+  REQUIRE(writers.Run(Milliseconds(5000), [&] {
+    return CountEvents(world, Event::kMemberPauseAnswered) > paused;
+  }));
+  world.KillGateway(holder);
+  world.RunFor(Milliseconds(20));
+  world.SetStoreUp(true);
+  world.RestartMember("m1");
+  world.RunFor(Milliseconds(100));
+  world.StartGateway(holder);
+  writers.Run(Milliseconds(1500));
+  const auto client = world.OpenClient(holder, "db-primary");
+  world.RunFor(Milliseconds(20));
+  const auto write =
+      world.SendClientStatement(client, "last", StatementKind::kWrite, "a 1");
+  world.RunFor(Milliseconds(300));
+  REQUIRE(world.FindAnswer(write) != nullptr);
+  CHECK(world.FindAnswer(write)->IsOk());
+  CHECK(world.group().PausedTerm("m2") == 0);
+  CHECK(world.group().PausedTerm("m3") == 0);
+  CHECK(world.FindViolations().empty());
+}
+
 }  // namespace
 }  // namespace kingcuplock
--- a/kingcuplock/gateway/gateway_stop.cc
+++ b/kingcuplock/gateway/gateway_stop.cc
@@ -65,14 +65,14 @@
 }
 
 // Releases the promotion duties. Without fencing tokens, a duty is kept while
-// an order given under it may still take effect. In the worst case its lease
-// ends with this instance, and the next holder waits.
+// an order given under it may still take effect, or may have done so unnoticed.
+// In the worst case its lease ends with this instance, and the next holder
+// waits.
 auto Gateway::ReleaseDuties() -> void {
   for (const auto& [name, group] : groups_) {
     const auto duty = duties_.find(name);
     const auto unsettled = !settings_.promotions_fenced &&
-                           duty != duties_.end() &&
-                           duty->second->EffectsPendingUntil() > timers_.Now();
+                           duty != duties_.end() && !duty->second->KnownTerm();
     if (duty_ownership_.Owns(name) && !unsettled &&
         released_duties_.insert(name).second) {
       duty_ownership_.Release(
--- a/kingcuplock/gateway/group.h
+++ b/kingcuplock/gateway/group.h
@@ -182,14 +182,9 @@
                  Duration patience,
                  std::function<void(std::optional<Time>)> callback) -> void;
 
-  /// Lets a paused member receive the primary's log again.
-  auto ResumeReplication(const std::string& member) -> void;
-
-  /// Returns when this instance last learned of a new term, nullopt if it never
-  /// did. The first term that it learns of does not count.
-  auto LastPromotionSeen() const -> std::optional<Time> {
-    return promotion_seen_;
-  }
+  /// Lets a paused member receive the primary's log again. From `not_after` on,
+  /// when another holder may have paused it, nothing is sent.
+  auto ResumeReplication(const std::string& member, Time not_after) -> void;
 
   /// Returns what this instance knows of the primary, as a report for peers.
   auto MakeReport() const -> GroupReport;
@@ -369,8 +364,6 @@
   /// Moving average of the time from a promotion order until the member is the
   /// primary.
   Duration promotion_time_;
-  std::int64_t newest_term_ = 0;
-  std::optional<Time> promotion_seen_;
   GrantTracker grant_tracker_;
   /// By number, in order of arrival.
   std::map<std::uint64_t, LeadWaiter> lead_waiters_;
--- a/kingcuplock/gateway/group_outcome.cc
+++ b/kingcuplock/gateway/group_outcome.cc
@@ -343,11 +343,6 @@
 
 auto Group::OnPrimaryChanged(std::string_view source) -> void {
   pending_attempts_ = 0;
-  if (primary_.term() > newest_term_) {
-    if (std::exchange(newest_term_, primary_.term()) > 0) {
-      promotion_seen_ = timers_.Now();
-    }
-  }
   log_.Log(Event::kPrimaryViewChanged,
            {{"group", config_.name},
             {"primary", primary_.member()},
@@ -447,15 +442,17 @@
       });
 }
 
-auto Group::ResumeReplication(const std::string& member) -> void {
+auto Group::ResumeReplication(const std::string& member, Time not_after)
+    -> void {
   const auto it = members_.find(member);
-  if (it == members_.end()) {
+  if (it == members_.end() || timers_.Now() >= not_after) {
     return;
   }
   const auto pool = it->second.pool;
   if (const auto link = pool->Acquire({}, nullptr, ConnectionUse::kControl)) {
-    pool->RunStatement(link, {.kind = StatementKind::kResume},
-                       [](const StatementAnswer*) {});
+    pool->RunStatement(
+        link, {.kind = StatementKind::kResume}, [](const StatementAnswer*) {},
+        MemberConnectionPool::kDefaultAnswerTimeout, not_after);
     pool->Release(link);
   }
 }
--- a/kingcuplock/gateway/promotion_duty.cc
+++ b/kingcuplock/gateway/promotion_duty.cc
@@ -47,13 +47,21 @@
                   ? timers.Now()
                   : timers.Now() + options_.predecessor_lease,
               options_.own_orders_pending_until),
-      acquired_(timers.Now()),
+      members_asked_since_(timers.Now()),
       group_(group),
       callbacks_(std::move(callbacks)),
       timers_(timers),
       out_(out),
       log_(log) {
-  if (options_.predecessor.empty() && options_.term > 0) {
+  permit_.NoteOrderRecorded(options_.recorded_order, timers_.Now());
+  const auto may_be_open =
+      !options_.recorded_order.empty() || options_.orders_unknown;
+  if (may_be_open && !options_.orders_resolved) {
+    // The former holder may have sent this order until its lease ended.
+    permit_.NoteUnresolvedOrder(options_.recorded_order,
+                                permit_.ExclusiveFrom());
+    paused_ = true;
+  } else if (options_.term > 0) {
     predecessor_term_ = options_.term;
   }
 }
@@ -86,6 +94,7 @@
     CheckPendingPrimary();
     DemoteReplacedPrimaries();
     ResumeAfterUnresolvedOrders();
+    ClearRecordedOrder();
   }
   if (stopped_ || phase_ != Phase::kMonitoring || timers_.Now() < not_before_) {
     return;
@@ -323,7 +332,7 @@
   } else if (reason_ == "leaving") {
     HandOverTo(choice.candidate.member);
   } else {
-    OrderWhenPermitted(choice.candidate.member);
+    RecordAndOrder(choice.candidate.member);
   }
 }
 
@@ -418,7 +427,7 @@
   paused_ = false;
   permit_.NoteMembersResumed();
   for (const auto& it : group_.MemberNames()) {
-    group_.ResumeReplication(it);
+    group_.ResumeReplication(it, callbacks_.lease_valid_until());
   }
 }
 
--- a/kingcuplock/gateway/promotion_duty.h
+++ b/kingcuplock/gateway/promotion_duty.h
@@ -51,6 +51,14 @@
   std::function<std::int64_t()> next_order_id;
   /// Returns the time before which the own lease cannot lapse.
   std::function<Time()> lease_valid_until;
+  /// Records in the store that `member` may be ordered to become the primary,
+  /// or, if it is empty, that no order is open and `term` is the newest term.
+  /// Calls back with whether it was recorded, unless the duty is lost first.
+  std::function<void(const std::string& group,
+                     const std::string& member,
+                     std::int64_t term,
+                     std::function<void(bool)> callback)>
+      record_order;
   /// Tells the former holder that it was replaced, if it can be reached.
   std::function<void(const std::string& holder, std::int64_t epoch)>
       send_step_down;
@@ -64,6 +72,13 @@
   std::int64_t epoch = 0;
   /// Newest term in the ownership record, 0 for none.
   std::int64_t term = 0;
+  /// Member of the open order in the ownership record, empty for none.
+  std::string recorded_order = {};
+  /// Whether orders that the record does not show may be open.
+  bool orders_unknown = false;
+  /// Whether this instance knows that no order is open, whatever the record
+  /// says.
+  bool orders_resolved = false;
   /// Former holder that did not release the duty, empty for none.
   std::string predecessor = {};
   /// Longest time for which its lease may remain valid.
@@ -100,7 +115,7 @@
   auto SetEpoch(std::int64_t epoch) -> void;
 
   /// Records that the former holder gave up the duty; `term` is the newest term
-  /// that it knew.
+  /// that it knew, 0 if it does not know whether one of its orders is open.
   auto NoteSteppedDown(std::int64_t term) -> void;
 
   /// Stops all grants and orders, because the duty is about to be released.
@@ -162,17 +177,20 @@
   // For platforms that do not check fencing tokens.
   auto AwaitExclusivity() -> void;
   auto CheckMembers() -> void;
-  auto NoteLeftPaused(const std::string& member, LogPosition place) -> void;
   auto RequestReport(const std::string& member) -> void;
+  auto NoteNewTerm(const std::string& member, const MemberReport& report)
+      -> void;
   auto KnowsPrimary() const -> bool;
   auto CheckPendingPrimary() -> void;
   auto DemoteReplacedPrimaries() -> void;
   auto ResumeAfterUnresolvedOrders() -> void;
+  auto ClearRecordedOrder() -> void;
   auto HandOverTo(const std::string& member) -> void;
   auto RetryHandOver(const std::string& member, std::int64_t reported_term)
       -> void;
   auto AwaitCatchUp(const std::string& member, LogPosition place) -> void;
   auto PauseAndOrder(const std::string& member) -> void;
+  auto RecordAndOrder(const std::string& member) -> void;
   auto OrderWhenPermitted(const std::string& member) -> void;
   auto ResumeMembers() -> void;
   auto AbandonAttempt(std::string_view outcome) -> void;
@@ -189,21 +207,18 @@
   /// When a peer last reported contact with a primary that this instance
   /// suspected.
   std::optional<Time> peer_heard_at_;
-  /// Newest term that the former holder reported or left in the ownership
-  /// record; nullopt if none is known.
+  /// Newest term that an order of a former holder can have begun; nullopt if
+  /// that is not known.
   std::optional<std::int64_t> predecessor_term_;
   /// Members that the former holder cannot have promoted without this instance
   /// knowing it.
   std::set<std::string> cleared_members_;
   /// Members that have reported their status to this duty.
   std::set<std::string> reported_members_;
-  /// Whether a recent promotion by the former holder was recorded as
-  /// unresolved.
-  bool recent_promotion_noted_ = false;
-  /// Log position of the member that the former holder may have ordered to
-  /// become primary.
-  std::optional<LogPosition> left_paused_position_;
-  Time acquired_;
+  /// Since when the members' entries and reports count.
+  Time members_asked_since_;
+  /// Number of unanswered writes of the recorded order.
+  int unanswered_records_ = 0;
   Time next_step_down_{};
   Time next_status_request_{};
   Time next_demotion_{};
--- a/kingcuplock/gateway/promotion_grants.cc
+++ b/kingcuplock/gateway/promotion_grants.cc
@@ -21,6 +21,9 @@
 /// Time in ms after which a member that does not answer is considered a replica
 /// if its entry says so. Members register a change of role at once.
 constexpr Milliseconds kEntryTrustDelay{2000};
+/// Longest time in ms to wait until an order is recorded, before the attempt is
+/// abandoned.
+constexpr Milliseconds kRecordTimeout{1000};
 /// Pause in ms between attempts to demote a replaced primary.
 constexpr Milliseconds kDemotionRetryPause{300};
 /// Time in ms that a leaving primary's successor has to catch up: several times
@@ -58,7 +61,13 @@
 }
 
 auto PromotionDuty::NoteSteppedDown(std::int64_t term) -> void {
-  predecessor_term_ = term;
+  if (exclusive_) {
+    return;
+  }
+  if (term > 0) {
+    predecessor_term_ = std::max(term, options_.term);
+    permit_.NoteOrdersResolved();
+  }
   permit_.NoteSteppedDown(timers_.Now());
 }
 
@@ -83,11 +92,14 @@
   }
 }
 
-// The former holder may have ordered a promotion that this instance does not
-// know of. This is ruled out if it reported its newest term, or if every member
-// is cleared.
+// A former holder may have ordered a promotion that this instance does not know
+// of. This is ruled out if the newest term is known, or if every member is
+// cleared.
 auto PromotionDuty::KnowsPrimary() const -> bool {
   const auto& primary = group_.primary();
+  if (primary.term() < options_.term) {
+    return false;
+  }
   if (predecessor_term_ && primary.term() >= *predecessor_term_) {
     return true;
   }
@@ -106,20 +118,13 @@
 
 auto PromotionDuty::CheckMembers() -> void {
   const auto now = timers_.Now();
-  const auto seen = group_.LastPromotionSeen();
-  if (reported_members_.empty() && !predecessor_term_ && seen &&
-      !recent_promotion_noted_ && now - *seen < kMaxOrderDelay) {
-    // The former holder may have sent this order more than once.
-    recent_promotion_noted_ = true;
-    permit_.NoteUnresolvedOrder(group_.primary().member(), *seen);
-  }
   if (now < next_status_request_) {
     return;
   }
   next_status_request_ = now + kStatusRequestPause;
   for (const auto& it : group_.MemberNames()) {
     const auto* entry = group_.FindEntry(it);
-    if (now - acquired_ >= kEntryTrustDelay && !entry->leads) {
+    if (now - members_asked_since_ >= kEntryTrustDelay && !entry->leads) {
       cleared_members_.insert(it);
     }
     if (!reported_members_.contains(it)) {
@@ -130,32 +135,34 @@
 
 auto PromotionDuty::RequestReport(const std::string& member) -> void {
   group_.RequestMemberStatus(
-      member, 0, guard_.Bind([this, member](const MemberReport* report) {
-        if (report == nullptr) {
+      member, 0,
+      guard_.Bind([this, member,
+                   since = members_asked_since_](const MemberReport* report) {
+        if (report == nullptr || since != members_asked_since_) {
           return;
         }
         reported_members_.insert(member);
         cleared_members_.insert(member);
         group_.NoteMemberReport(member, *report);
-        const auto left = report->IsPaused() && phase_ == Phase::kMonitoring;
-        if (left && predecessor_term_) {
-          group_.ResumeReplication(member);
-        } else if (left) {
-          NoteLeftPaused(member, report->received);
+        NoteNewTerm(member, *report);
+        const auto left_paused =
+            report->IsPaused() && phase_ == Phase::kMonitoring;
+        if (left_paused && permit_.HasUnresolvedOrder(timers_.Now())) {
+          paused_ = true;
+        } else if (left_paused) {
+          group_.ResumeReplication(member, callbacks_.lease_valid_until());
         }
       }));
 }
 
-// The former holder may have ordered a member that it paused to become primary.
-// Of several paused members, it chose the one with the longest log.
-auto PromotionDuty::NoteLeftPaused(const std::string& member, LogPosition place)
-    -> void {
-  paused_ = true;
-  if (left_paused_position_ && place <= *left_paused_position_) {
-    return;
+// The member of the only open order is primary, so no other term can follow
+// from it.
+auto PromotionDuty::NoteNewTerm(const std::string& member,
+                                const MemberReport& report) -> void {
+  if (!options_.orders_unknown && member == options_.recorded_order &&
+      report.is_primary && report.term > options_.term) {
+    predecessor_term_ = std::max(predecessor_term_.value_or(0), report.term);
   }
-  left_paused_position_ = place;
-  permit_.NoteUnresolvedOrder(member, permit_.ExclusiveFrom());
 }
 
 // Asks the pending primary for its status. Statements wait for a grant
@@ -204,12 +211,41 @@
 
 auto PromotionDuty::ResumeAfterUnresolvedOrders() -> void {
   const auto now = timers_.Now();
-  if (permit_.ForgetExpiredOrders(now) && !permit_.HasUnresolvedOrder(now) &&
-      paused_ && phase_ == Phase::kMonitoring) {
+  const auto expired = permit_.ForgetExpiredOrders(now);
+  if (permit_.HasUnresolvedOrder(now)) {
+    return;
+  }
+  if (expired) {
+    // An order may have been carried out since the members were asked.
+    reported_members_.clear();
+    cleared_members_.clear();
+    predecessor_term_.reset();
+    members_asked_since_ = now;
+  }
+  if (paused_ && phase_ == Phase::kMonitoring) {
     ResumeMembers();
   }
 }
 
+// Records that no order is open, once that is certain.
+auto PromotionDuty::ClearRecordedOrder() -> void {
+  const auto term = KnownTerm();
+  if (unanswered_records_ > 0 || !term || phase_ != Phase::kMonitoring ||
+      (permit_.recorded_member().empty() && !options_.orders_unknown)) {
+    return;
+  }
+  ++unanswered_records_;
+  callbacks_.record_order(group_.config().name, "", *term,
+                          guard_.Bind([this, term](bool recorded) {
+                            --unanswered_records_;
+                            if (recorded) {
+                              permit_.NoteOrderRecorded("", timers_.Now());
+                              options_.orders_unknown = false;
+                              options_.term = std::max(options_.term, *term);
+                            }
+                          }));
+}
+
 // A leaving primary is demoted first and takes no more writes; its successor
 // then receives what it lacks, so that no write is lost.
 auto PromotionDuty::HandOverTo(const std::string& member) -> void {
@@ -293,12 +329,50 @@
               return;
             }
             permit_.NoteMemberPaused(member, *report, timers_.Now());
-            OrderWhenPermitted(member);
+            RecordAndOrder(member);
           }));
 }
 
+// Records the order in the store before it is sent. A holder that takes over,
+// or this one after a restart, can't learn of it from the members: they lose
+// their pause by a restart of their own.
+auto PromotionDuty::RecordAndOrder(const std::string& member) -> void {
+  phase_ = Phase::kAwaitingPermit;
+  if (permit_.recorded_member() == member && unanswered_records_ == 0) {
+    OrderWhenPermitted(member);
+    return;
+  }
+  timers_.After(kRecordTimeout, guard_.Bind([this, attempt = attempt_] {
+    if (attempt == attempt_ && phase_ == Phase::kAwaitingPermit &&
+        unanswered_records_ > 0) {
+      AbandonAttempt("the order could not be recorded in time");
+    }
+  }));
+  ++unanswered_records_;
+  callbacks_.record_order(
+      group_.config().name, member, 0,
+      guard_.Bind([this, member, attempt = attempt_](bool recorded) {
+        --unanswered_records_;
+        if (recorded) {
+          permit_.NoteOrderRecorded(member, timers_.Now());
+        }
+        if (attempt != attempt_ || phase_ != Phase::kAwaitingPermit) {
+          return;
+        }
+        if (recorded) {
+          OrderWhenPermitted(member);
+        } else {
+          AbandonAttempt("the order could not be recorded");
+        }
+      }));
+}
+
 // Waits until no instance relies on the former primary, then sends the order.
 auto PromotionDuty::OrderWhenPermitted(const std::string& member) -> void {
+  if (stopped_) {
+    AbandonAttempt("the duty is being released");
+    return;
+  }
   phase_ = Phase::kAwaitingPermit;
   const auto now = timers_.Now();
   const auto from = permit_.EarliestOrderTime(member);
--- a/kingcuplock/grants/grant_rules.h
+++ b/kingcuplock/grants/grant_rules.h
@@ -27,6 +27,9 @@
   /// A member counts as paused only if its answer says that the pause is in
   /// effect.
   static constexpr bool kRequireEffectivePause = true;
+  /// The store holds which member may have been ordered to become primary
+  /// before the order is sent, and a new holder takes that over.
+  static constexpr bool kRecordOrders = true;
   /// Evidence requires a report from every other member.
   static constexpr bool kRequireAllReports = true;
   /// A new holder waits until its predecessor can no longer order or grant.
@@ -45,6 +48,7 @@
   { T::kWaitForGrantExpiry } -> std::convertible_to<bool>;
   { T::kRejectPausedReports } -> std::convertible_to<bool>;
   { T::kRequireEffectivePause } -> std::convertible_to<bool>;
+  { T::kRecordOrders } -> std::convertible_to<bool>;
   { T::kRequireAllReports } -> std::convertible_to<bool>;
   { T::kWaitForPredecessor } -> std::convertible_to<bool>;
   { T::kRequireValidLease } -> std::convertible_to<bool>;
--- a/kingcuplock/grants/grants_test.cc
+++ b/kingcuplock/grants/grants_test.cc
@@ -87,6 +87,7 @@
   told.NoteSteppedDown(kNow + Milliseconds(10));
   CHECK(told.MayGrant("m1", kNow + Milliseconds(10), forever));
   // The predecessor's grants may still be valid.
+  told.NoteOrderRecorded("m2", kNow);
   told.NoteMemberPaused("m2", ReplicaReport(3, 4), kNow + Milliseconds(10));
   CHECK(told.EarliestOrderTime("m2") ==
         kNow + Milliseconds(10) + kGrantDuration - kMinPromotionTime);
@@ -107,6 +108,7 @@
 TEST_CASE("An order waits for grants from before its member was paused") {
   PromotionPermit<> permit(kNow, kNow, kNow);
   const auto later = kNow + Milliseconds(5000);
+  permit.NoteOrderRecorded("m2", kNow);
   CHECK(permit.EarliestOrderTime("m2") == Time::max());
   permit.NoteMemberPaused("m2", ReplicaReport(3, 4), later);
   CHECK(permit.EarliestOrderTime("m2") ==
@@ -118,9 +120,32 @@
   CHECK(permit.EarliestOrderTime("m2") == Time::max());
 }
 
+// Guards against an order that no later holder knows of.
+TEST_CASE("An order waits until it is recorded, and as long as for a pause") {
+  PromotionPermit<> permit(kNow, kNow, kNow);
+  permit.NoteMemberPaused("m2", ReplicaReport(3, 4), kNow);
+  CHECK(permit.EarliestOrderTime("m2") == Time::max());
+  permit.NoteOrderRecorded("m3", kNow);
+  CHECK(permit.EarliestOrderTime("m2") == Time::max());
+  const auto later = kNow + Milliseconds(700);
+  permit.NoteOrderRecorded("m2", later);
+  CHECK(permit.EarliestOrderTime("m2") ==
+        later + kGrantDuration - kMinPromotionTime);
+}
+
+TEST_CASE("An unknown open order blocks all grants and orders") {
+  PromotionPermit<> permit(kNow, kNow, kNow);
+  permit.NoteUnresolvedOrder("", kNow);
+  CHECK_FALSE(permit.MayGrant("m1", kNow, Time::max()));
+  CHECK_FALSE(permit.HasNoOtherUnresolvedOrder("m2", kNow));
+  permit.NoteOrdersResolved();
+  CHECK(permit.MayGrant("m1", kNow, Time::max()));
+}
+
 TEST_CASE("Nothing is granted or ordered once the lease may have lapsed") {
   PromotionPermit<> permit(kNow, kNow, kNow);
   const auto late = kNow + Milliseconds(5000);
+  permit.NoteOrderRecorded("m2", kNow);
   permit.NoteMemberPaused("m2", ReplicaReport(3, 4), kNow);
   CHECK(permit.MayOrder("m2", late, late + Milliseconds(1)));
   CHECK_FALSE(permit.MayOrder("m2", late, late));
@@ -134,7 +159,9 @@
   permit.NoteMemberPaused("m2", ReplicaReport(3, 4), kNow);
   permit.NoteMemberPaused("m3", ReplicaReport(3, 4), kNow);
   permit.NoteUnresolvedOrder("m2", later);
+  permit.NoteOrderRecorded("m2", kNow);
   CHECK(permit.MayOrder("m2", later, forever));
+  permit.NoteOrderRecorded("m3", kNow);
   CHECK_FALSE(permit.MayOrder("m3", later, forever));
   CHECK_FALSE(permit.MayGrant("m1", later, forever));
   CHECK(permit.MayOrder("m3", later + kMaxOrderDelay, forever));
--- a/kingcuplock/grants/promotion_permit.h
+++ b/kingcuplock/grants/promotion_permit.h
@@ -4,12 +4,15 @@
 /// primary and when it may order a promotion, on a platform that does not check
 /// fencing tokens. It may act once its predecessor can no longer act and while
 /// its lease is valid, with at most one order outstanding. An order also waits
-/// until no instance relies on the former primary.
+/// until it is recorded in the store, so that no later holder, nor this one
+/// after a restart, can fail to know of it, and until no instance relies on the
+/// former primary.
 ///
 /// Example:
 ///   PromotionPermit<> permit(now, now + ttl, now);
 ///   if (permit.MayGrant("m-1", now, lease_valid_until)) { SendGrant("m-1"); }
 ///   permit.NoteMemberPaused("m-2", report, now);
+///   permit.NoteOrderRecorded("m-2", now);
 ///   if (permit.MayOrder("m-2", now, lease_valid_until)) { SendOrder("m-2"); }
 
 #include <algorithm>
@@ -85,18 +88,36 @@
   /// Records that the members receive again, or are about to be asked anew.
   auto NoteMembersResumed() -> void { paused_since_.clear(); }
 
+  /// Records that the store holds at `now` that `member` may be ordered to
+  /// become primary; empty if it holds that no order is open.
+  auto NoteOrderRecorded(const std::string& member, Time now) -> void {
+    recorded_member_ = member;
+    recorded_since_ = now;
+  }
+
+  /// Returns the member of the open order that the store holds, empty for none.
+  auto recorded_member() const -> const std::string& {
+    return recorded_member_;
+  }
+
   /// Returns the earliest time at which `member` may be ordered to become
-  /// primary, Time::max() if it is not paused. The order takes effect no
-  /// earlier than kMinPromotionTime after it is sent.
+  /// primary, Time::max() if it is not paused or the order is not recorded. The
+  /// order takes effect no earlier than kMinPromotionTime after it is sent.
   auto EarliestOrderTime(const std::string& member) const -> Time {
     const auto paused = paused_since_.find(member);
-    if (paused == paused_since_.end()) {
+    const auto is_recorded =
+        recorded_member_ == member || !Rules::kRecordOrders;
+    if (paused == paused_since_.end() || !is_recorded) {
       return Time::max();
     }
-    const auto reports_end =
-        paused->second + kGrantDuration - kMinPromotionTime;
+    // Instances may rely on a report from before the pause, or on a record
+    // from before it held the order.
+    const auto since = Rules::kRecordOrders
+                           ? std::max(paused->second, recorded_since_)
+                           : paused->second;
+    const auto evidence_end = since + kGrantDuration - kMinPromotionTime;
     return Rules::kWaitForGrantExpiry
-               ? std::max<Time>(exclusive_from_, reports_end)
+               ? std::max<Time>(exclusive_from_, evidence_end)
                : exclusive_from_;
   }
 
@@ -110,7 +131,8 @@
   }
 
   /// Records that an order to promote `member`, sent at `now` or earlier, got
-  /// no answer or may be carried out again.
+  /// no answer or may be carried out again. An empty `member` stands for an
+  /// unknown one.
   auto NoteUnresolvedOrder(const std::string& member, Time now) -> void {
     auto& until = unresolved_until_[member];
     until = std::max<Time>(until, now + kMaxOrderDelay);
@@ -132,6 +154,9 @@
                        });
   }
 
+  /// Records that no order can be carried out any more.
+  auto NoteOrdersResolved() -> void { unresolved_until_.clear(); }
+
   /// Removes the unresolved orders that can no longer be carried out; returns
   /// whether there was one.
   auto ForgetExpiredOrders(Time now) -> bool {
@@ -151,6 +176,9 @@
 
   Time own_orders_end_;
   Time exclusive_from_;
+  /// Member of the open order in the store, empty for none, and since when.
+  std::string recorded_member_;
+  Time recorded_since_{};
   /// When each paused member confirmed its pause.
   std::map<std::string, Time> paused_since_;
   /// Until when an unresolved order may be carried out, by member.
--- a/kingcuplock/ownership/ownership_keeper.cc
+++ b/kingcuplock/ownership/ownership_keeper.cc
@@ -237,10 +237,11 @@
   if (entry.record_before_restore) {
     next = *entry.record_before_restore;
   } else if (IsOfEarlierEra(next)) {
-    // Terms, primaries and owners may have changed since.
+    // Terms, primaries, owners and orders may have changed since.
     const auto epoch = next.epoch;
     next = OwnerRecord{};
     next.epoch = epoch;
+    next.orders_unknown = true;
   }
   if (next.phase == Phase::kReleased) {
     next.previous.clear();
@@ -295,6 +296,20 @@
   ChangeOwnedRecord(database, change, std::move(callback));
 }
 
+void OwnershipKeeper::RecordOrder(const std::string& database,
+                                  const std::string& member,
+                                  std::int64_t term,
+                                  WriteCallback callback) {
+  const auto change = [member, term](OwnerRecord& record) {
+    record.ordered = member;
+    if (member.empty()) {
+      record.orders_unknown = false;
+      record.term = std::max(record.term, term);
+    }
+  };
+  ChangeOwnedRecord(database, change, std::move(callback));
+}
+
 void OwnershipKeeper::RaiseEpoch(const std::string& database,
                                  WriteCallback callback) {
   const auto change = [](OwnerRecord& record) { record.epoch += 1; };
@@ -326,6 +341,8 @@
     }
     record.owner.clear();
     record.lease = 0;
+    record.ordered.clear();
+    record.orders_unknown = false;
   };
   ChangeOwnedRecord(database, change, std::move(callback));
 }
--- a/kingcuplock/ownership/ownership_keeper.h
+++ b/kingcuplock/ownership/ownership_keeper.h
@@ -99,6 +99,15 @@
                    const std::vector<TermStart>& term_starts,
                    WriteCallback callback);
 
+  /// Records that `member` may be ordered to become the primary, before the
+  /// order is sent. An empty `member` records that no order of this or an
+  /// earlier owner can be carried out any more; `term`, if it is higher than
+  /// the record's, is then the newest term. Calls back as WriteRecord().
+  void RecordOrder(const std::string& database,
+                   const std::string& member,
+                   std::int64_t term,
+                   WriteCallback callback);
+
   /// Raises the epoch of a database that this instance owns and keeps, so that
   /// a new owner object fences the previous one.
   void RaiseEpoch(const std::string& database, WriteCallback callback);
@@ -113,8 +122,8 @@
 
   /// Gives up an owned database so that a successor can take it without waiting
   /// for the lease to expire. `term` is the newest known term, 0 for none; it
-  /// is recorded if it is higher than the record's. Calls back as
-  /// WriteRecord().
+  /// is recorded if it is higher than the record's. No order to promote a
+  /// member may be open. Calls back as WriteRecord().
   void Release(const std::string& database,
                WriteCallback callback,
                std::int64_t term = 0);
--- a/kingcuplock/schema/messages.cc
+++ b/kingcuplock/schema/messages.cc
@@ -1006,6 +1006,9 @@
   internal::WriteOptional(out, "term", value.term, kDefaults.term);
   internal::WriteOptional(out, "primary", value.primary, kDefaults.primary);
   internal::WriteOptional(out, "phase", value.phase, kDefaults.phase);
+  internal::WriteOptional(out, "ordered", value.ordered, kDefaults.ordered);
+  internal::WriteOptional(out, "orders_unknown", value.orders_unknown,
+                          kDefaults.orders_unknown);
   internal::WriteOptional(out, "attempt", value.attempt, kDefaults.attempt);
   internal::WriteOptional(out, "term_starts", value.term_starts,
                           kDefaults.term_starts);
@@ -1020,6 +1023,8 @@
   internal::ReadOptional(in, "term", value.term);
   internal::ReadOptional(in, "primary", value.primary);
   internal::ReadOptional(in, "phase", value.phase);
+  internal::ReadOptional(in, "ordered", value.ordered);
+  internal::ReadOptional(in, "orders_unknown", value.orders_unknown);
   internal::ReadOptional(in, "attempt", value.attempt);
   internal::ReadOptional(in, "term_starts", value.term_starts);
 }
--- a/kingcuplock/schema/messages.h
+++ b/kingcuplock/schema/messages.h
@@ -1093,6 +1093,12 @@
   std::string primary{};
   /// Phase.
   Phase phase{};
+  /// Member that an owner ordered, or was about to order, to become the
+  /// primary, if that order may still be carried out; else empty.
+  std::string ordered{};
+  /// Whether an order that no record shows may still be carried out, as after a
+  /// restore of the store.
+  bool orders_unknown{};
   /// Id of the write of this record. After a lost answer, it shows whether the
   /// write took effect.
   std::string attempt{};
--- a/proofs/grant_model/grant_model.h
+++ b/proofs/grant_model/grant_model.h
@@ -156,7 +156,7 @@
       case 9:
         return RenewLease(RandomBelow(2));
       case 10:
-        return StallRandomProcess();
+        return OneIn(4) ? RestartHolder(RandomBelow(2)) : StallRandomProcess();
       default:
         return TransferDuty();
     }
@@ -215,11 +215,12 @@
     return members_[holder.primary].acts_as_primary;
   }
 
-  // Records the promotions that the predecessor may have ordered: a member that
-  // is still paused may have been ordered to become primary.
+  // Without a record of orders: notes the promotions that the predecessor may
+  // have ordered. A member that is still paused may have been ordered to become
+  // primary.
   auto NotePredecessorOrders(Holder& holder) -> void {
     if (std::exchange(holder.pending_orders_checked, true) ||
-        holder.predecessor_stepped_down) {
+        holder.predecessor_stepped_down || Rules::kRecordOrders) {
       return;
     }
     if (now_ - promoted_at_ < kMaxOrderDelay) {
@@ -325,6 +326,7 @@
         PromotionPermit<Rules>(now_, is_first ? now_ : now_ + kLeaseDuration,
                                effects_end_[holder_index]);
     holder.lease_valid_until = now_ + kLeaseDuration;
+    TakeOverRecord(holder);
     if (OneIn(3)) {
       // The process has just started and knows no term.
       holder.term = 0;
@@ -336,6 +338,38 @@
     AddToTrace("holder " + std::to_string(holder_index) + " acquires the duty");
   }
 
+  auto TakeOverRecord(Holder& holder) -> void {
+    holder.permit.NoteOrderRecorded(recorded_order_, now_);
+    if (Rules::kRecordOrders && !recorded_order_.empty()) {
+      holder.permit.NoteUnresolvedOrder(recorded_order_,
+                                        holder.permit.ExclusiveFrom());
+    }
+  }
+
+  // A process ends and starts again, with nothing that it knew. The current
+  // holder takes its own duty over at once.
+  auto RestartHolder(std::size_t holder_index) -> void {
+    auto& holder = holders_[holder_index];
+    const auto is_current = holder_index == current_holder_ && holder.active &&
+                            !revoked_[holder_index];
+    const auto predecessor_ends = holder.permit.ExclusiveFrom();
+    effects_end_[holder_index] = Time{};
+    forgot_[holder_index] = true;
+    AddToTrace("holder " + std::to_string(holder_index) + " restarts");
+    if (!is_current) {
+      holder.active = false;
+      return;
+    }
+    holder = Holder();
+    holder.active = true;
+    holder.epoch = ++last_epoch_;
+    holder.permit =
+        PromotionPermit<Rules>(now_, std::max(now_, predecessor_ends), now_);
+    holder.lease_valid_until = now_ + kLeaseDuration;
+    holder.term = 0;
+    TakeOverRecord(holder);
+  }
+
   // The store gives the duty to the other holder, after the lease has expired
   // or by revoking it while the holder still counts it as valid.
   auto TransferDuty() -> void {
@@ -350,6 +384,7 @@
     const auto former = current_holder_;
     revoked_[former] = true;
     revoked_[next] = false;
+    forgot_[next] = false;
     AcquireDuty(next);
     // The former holder is asked to step down. It confirms only if none of its
     // orders can still take effect.
@@ -365,9 +400,18 @@
       if (now_ < effects_end_[former]) {
         return;
       }
-      SendMessage([this, next] {
-        holders_[next].permit.NoteSteppedDown(now_);
-        holders_[next].predecessor_stepped_down = true;
+      // After a restart, it can't say whether its earlier run left an order.
+      SendMessage([this, next, epoch = holders_[next].epoch,
+                   knows_orders = !forgot_[former]] {
+        auto& holder = holders_[next];
+        if (holder.epoch != epoch || now_ >= holder.permit.ExclusiveFrom()) {
+          return;
+        }
+        if (knows_orders) {
+          holder.permit.NoteOrdersResolved();
+        }
+        holder.permit.NoteSteppedDown(now_);
+        holder.predecessor_stepped_down = true;
       });
     });
   }
@@ -378,6 +422,7 @@
         now_ >= holder.stalled_until) {
       holder.lease_valid_until = now_ + kLeaseDuration;
     }
+    ClearRecordedOrder(holder_index);
   }
 
   auto BeginPromotion(std::size_t holder_index) -> void {
@@ -424,10 +469,40 @@
         if (!report.IsPaused()) {
           SendPause(holder_index, report.term + 1);
         }
+        RecordOrder(holder_index);
       });
     });
   }
 
+  // The store refuses the write of a holder that has lost the duty.
+  auto RecordOrder(std::size_t holder_index) -> void {
+    const auto epoch = holders_[holder_index].epoch;
+    const auto name = MemberName(holders_[holder_index].candidate);
+    SendMessage([this, holder_index, epoch, name] {
+      if (revoked_[holder_index] || holders_[holder_index].epoch != epoch ||
+          !holders_[holder_index].promoting) {
+        return;
+      }
+      recorded_order_ = name;
+      SendMessage([this, holder_index, epoch, name] {
+        if (holders_[holder_index].epoch == epoch && recorded_order_ == name) {
+          holders_[holder_index].permit.NoteOrderRecorded(name, now_);
+        }
+      });
+    });
+  }
+
+  auto ClearRecordedOrder(std::size_t holder_index) -> void {
+    auto& holder = holders_[holder_index];
+    const auto ordering = holder.promoting || holder.order_in_flight;
+    if (holder.active && !revoked_[holder_index] && !ordering &&
+        now_ >= holder.stalled_until &&
+        holder.permit.EffectsPendingUntil(now_, ordering) <= now_) {
+      recorded_order_.clear();
+      holder.permit.NoteOrderRecorded("", now_);
+    }
+  }
+
   static auto MakeReport(const Member& member) -> MemberReport {
     MemberReport report;
     report.is_primary = member.acts_as_primary;
@@ -536,6 +611,10 @@
   std::array<Holder, 2> holders_;
   /// Whether the store gave the duty to the other holder, by holder.
   std::array<bool, 2> revoked_{};
+  /// Whether the holder has restarted since it took its duty, by holder.
+  std::array<bool, 2> forgot_{};
+  /// Member of the open order that the store holds, empty for none.
+  std::string recorded_order_;
   /// When the last effect of a holder's earlier duties is over, by holder.
   std::array<Time, 2> effects_end_{};
   std::array<Instance, kInstances> instances_;
--- a/proofs/grant_model/grant_model_test.cc
+++ b/proofs/grant_model/grant_model_test.cc
@@ -54,6 +54,12 @@
   CHECK(FindsFault<WithoutEffectivePause>());
 }
 
+// Guards against a holder that forgets its open order by a restart, and against
+// its successor, to which it then confirms that it acts no more.
+TEST_CASE("Fault found if orders are not recorded") {
+  CHECK(FindsFault<WithoutRecordedOrders>());
+}
+
 TEST_CASE("Fault found if evidence lacks the report of a member") {
   CHECK(FindsFault<WithoutAllReports>());
 }
--- a/proofs/grant_model/grant_rule_sets.h
+++ b/proofs/grant_model/grant_rule_sets.h
@@ -23,6 +23,9 @@
 struct WithoutEffectivePause : AllGrantRules {
   static constexpr bool kRequireEffectivePause = false;
 };
+struct WithoutRecordedOrders : AllGrantRules {
+  static constexpr bool kRecordOrders = false;
+};
 struct WithoutAllReports : AllGrantRules {
   static constexpr bool kRequireAllReports = false;
 };
