Grants: a member that has just started is no evidence while an order may be open

Cause: an instance that gets no grant from the holder asks the members. That nobody is paused was taken as proof that nobody has been ordered, but a pause ends with a restart of the member.

Now a report counts by itself only if it came on a connection that the member accepted kMaxOrderDelay ago, and if no member has been removed since: then the pause of an open order can't have been lost. Otherwise the instance reads the group's record from the store, after it has asked the members, and uses the primary only if the record shows no open order for another member and no later term. An order waits after its recording as long as after a pause, so the record is evidence for the same time. The gateway's own statements use the oldest connection.

Ruled out: pausing restarted members again. Between the restart and the new pause the member's report proves the old primary.

The model has restarting replicas and the record; it finds the fault without the rule.

--- a/kingcuplock/gateway/gateway.cc
+++ b/kingcuplock/gateway/gateway.cc
@@ -243,6 +243,9 @@
                        [this, name = it.name](std::int64_t ask) {
                          return RequestGrant(name, ask);
                        },
+                       [this, name = it.name](auto callback) {
+                         ReadOrderRecord(name, std::move(callback));
+                       },
                        observer_.served});
   }
   duty_ownership_.SetDatabases(names);
--- a/kingcuplock/gateway/gateway.h
+++ b/kingcuplock/gateway/gateway.h
@@ -171,6 +171,9 @@
   auto PeerThatHeardPrimary(const std::string& group) const -> std::string;
   auto RequestGrant(const std::string& group, std::int64_t ask) -> bool;
   auto OnGrantWanted(ConnectionId source, const GrantWanted& wanted) -> void;
+  auto ReadOrderRecord(
+      const std::string& group,
+      std::function<void(const std::optional<OrderRecord>&)> callback) -> void;
   auto OnStepDown(ConnectionId source, const StepDown& told) -> void;
   auto OnSteppedDown(const SteppedDown& told) -> void;
   auto UpdatePeers() -> void;
--- a/kingcuplock/gateway/gateway_duty.cc
+++ b/kingcuplock/gateway/gateway_duty.cc
@@ -200,6 +200,20 @@
   });
 }
 
+auto Gateway::ReadOrderRecord(
+    const std::string& group,
+    std::function<void(const std::optional<OrderRecord>&)> callback) -> void {
+  duty_ownership_.ReadRecord(
+      group, [callback = std::move(callback)](const OwnerRecord* record) {
+        if (record == nullptr) {
+          callback(std::nullopt);
+          return;
+        }
+        callback(
+            OrderRecord{record->term, record->ordered, record->orders_unknown});
+      });
+}
+
 // A new holder acts once it has this answer, so the answer is sent only when no
 // order of this instance can be carried out any more.
 auto Gateway::OnStepDown(ConnectionId source, const StepDown& message) -> void {
--- a/kingcuplock/gateway/gateway_open_order_test.cc
+++ b/kingcuplock/gateway/gateway_open_order_test.cc
@@ -189,5 +189,32 @@
   CHECK(world.FindViolations().empty());
 }
 
+// Guards against members that prove the old primary since they lost their pause
+// by a restart: the holder knows of its open order, the other instances do not.
+TEST_CASE("Restarted members prove no primary while an order is open") {
+  for (const auto late_ms : {1500, 2500, 3500, 4500}) {
+    CAPTURE(late_ms);
+    GatewayFixture world(UnfencedOptions());
+    world.RunFor(kStart);
+    Writers writers(world);
+    writers.Run(Milliseconds(300));
+    world.LosePromotionAnswers(Milliseconds(late_ms));
+    world.CrashMember("m1");
+    REQUIRE(writers.Run(Milliseconds(5000),
+                        [&] { return !world.OrderFencingTokens().empty(); }));
+    for (const auto* it : {"m2", "m3"}) {
+      world.CrashMember(it);
+      writers.Run(Milliseconds(200));
+      world.RestartMember("m1");
+      world.RestartMember(it);
+    }
+    writers.Run(Milliseconds(8000));
+    world.LosePromotionAnswers(std::nullopt);
+    writers.Run(Milliseconds(4000));
+    CHECK(world.group().CountPromotions() > 0);
+    CHECK(world.FindViolations().empty());
+  }
+}
+
 }  // namespace
 }  // namespace kingcuplock
--- a/kingcuplock/gateway/group.cc
+++ b/kingcuplock/gateway/group.cc
@@ -78,6 +78,7 @@
       out_(out),
       log_(log),
       callbacks_(std::move(callbacks)),
+      members_known_since_(timers.Now()),
       runner_(
           timers,
           {[this](const StatementTaskPtr& task, StatementTaskResult result) {
@@ -248,6 +249,7 @@
     log_.Log(Event::kEndpointGone,
              {{"group", config_.name}, {"member", it->first}});
     it->second.pool->Retire();
+    members_known_since_ = timers_.Now();
     if (primary_.NoteLost(it->first)) {
       OnPrimaryChanged("unregistered");
     }
--- a/kingcuplock/gateway/group.h
+++ b/kingcuplock/gateway/group.h
@@ -64,6 +64,11 @@
   /// request. Returns false if the holder can't be asked. The answer is passed
   /// to OnGrantGiven().
   std::function<bool(std::int64_t ask)> request_grant;
+  /// Reads what the store holds about orders to promote a member, at the time
+  /// of the call or later. Calls back with nullopt if that can't be read.
+  std::function<void(
+      std::function<void(const std::optional<OrderRecord>&)> callback)>
+      read_order_record;
   /// A task was served. It waited in this instance for `waited`, and the member
   /// answered `at_member` after it was sent.
   std::function<void(Duration waited, Duration at_member)> task_served;
@@ -326,6 +331,8 @@
                      std::function<void(std::optional<Time>)> callback) -> void;
   auto CollectMemberReports(std::int64_t ask) -> void;
   auto OnMemberReportsCollected(const ReportRound& round) -> void;
+  auto OnEvidenceCollected(std::int64_t ask, const PrimaryEvidence<>& evidence)
+      -> void;
   auto ApplyGrant(const PrimaryGrant& grant, std::string_view source) -> void;
   auto OnGrantMissing(std::int64_t ask) -> void;
   auto AddOrKeepSample(const std::string& member, Time sent, LogPosition place)
@@ -338,6 +345,8 @@
   Outbox& log_;
   GroupCallbacks callbacks_;
   CallbackGuard guard_;
+  /// Since when no member has been removed.
+  Time members_known_since_;
   StatementTaskRunner runner_;
   std::map<std::string, Member, std::less<>> members_;
   std::int64_t instance_count_ = 1;
--- a/kingcuplock/gateway/group_grants.cc
+++ b/kingcuplock/gateway/group_grants.cc
@@ -18,6 +18,8 @@
 /// Time in ms that a peer's request waits for a grant: as long as the peer
 /// waits for the answer.
 constexpr Milliseconds kPeerGrantTimeout{60};
+/// Longest time in ms to wait for the record of the last order.
+constexpr Milliseconds kRecordTimeout{150};
 /// Pause in ms before the next request for a grant after nobody gave one.
 constexpr Milliseconds kGrantRequestPause{50};
 /// Age in ms above which a sample that a peer asks for is renewed; well below
@@ -221,16 +223,38 @@
     }
   }
   PrimaryEvidence<> evidence(leader->first, leader->second->term, others,
-                             round.asked);
+                             round.asked, members_known_since_);
   for (const auto& it : others) {
     const auto& report = round.reports.at(it);
     evidence.NoteReport(it, report ? &*report : nullptr);
   }
   OnMemberStatus(leader->first, *leader->second);
-  if (evidence.ProvesPrimary()) {
-    ApplyGrant(evidence.Grant(), "members");
+  if (!evidence.NeedsRecord()) {
+    OnEvidenceCollected(round.ask, evidence);
+    return;
+  }
+  timers_.After(kRecordTimeout,
+                guard_.Bind([this, ask = round.ask] { OnGrantMissing(ask); }));
+  callbacks_.read_order_record(
+      guard_.Bind([this, reports = evidence,
+                   ask = round.ask](const std::optional<OrderRecord>& record) {
+        auto with_record = reports;
+        with_record.NoteRecord(record);
+        OnEvidenceCollected(ask, with_record);
+      }));
+}
+
+auto Group::OnEvidenceCollected(std::int64_t ask,
+                                const PrimaryEvidence<>& evidence) -> void {
+  const auto& grant = evidence.Grant();
+  // A member of a later term has been promoted, even if it is not registered
+  // at present.
+  const auto replaced = grant.term < primary_.term();
+  if (evidence.ProvesPrimary() && !replaced &&
+      grant.Covers(grant.member, timers_.Now())) {
+    ApplyGrant(grant, "members");
   } else {
-    OnGrantMissing(round.ask);
+    OnGrantMissing(ask);
   }
 }
 
--- a/kingcuplock/gateway/group_outcome.cc
+++ b/kingcuplock/gateway/group_outcome.cc
@@ -423,6 +423,7 @@
     callback(nullptr);
     return;
   }
+  const auto connected_since = pool->AcceptedSince(link);
   const auto answered = std::make_shared<bool>(false);
   const auto timer = timers_.After(kStatusTimeout, [=] {
     if (!std::exchange(*answered, true)) {
@@ -437,8 +438,13 @@
         }
         timers_.Cancel(timer);
         pool->Release(link);
-        const auto told = answer != nullptr && answer->IsOk() && answer->status;
-        callback(told ? &*answer->status : nullptr);
+        if (answer == nullptr || !answer->IsOk() || !answer->status) {
+          callback(nullptr);
+          return;
+        }
+        auto report = *answer->status;
+        report.connected_since = connected_since;
+        callback(&report);
       });
 }
 
--- a/kingcuplock/gateway/member_connection_pool.cc
+++ b/kingcuplock/gateway/member_connection_pool.cc
@@ -179,7 +179,12 @@
     }
     const auto cost =
         connection.session_state.CountReplayStatements(session, prepared);
-    if (best == 0 || cost < best_cost) {
+    const auto better =
+        best == 0 ||
+        (connection_use == ConnectionUse::kControl
+             ? connection.accepted_since < connections_.at(best).accepted_since
+             : cost < best_cost);
+    if (better) {
       best = id;
       best_cost = cost;
     }
@@ -200,6 +205,11 @@
   return best;
 }
 
+auto MemberConnectionPool::AcceptedSince(ConnectionId connection) const
+    -> Time {
+  return connections_.at(connection).accepted_since;
+}
+
 auto MemberConnectionPool::EnsureOpening(ConnectionUse connection_use) -> bool {
   if (MayOpen(connection_use) && opening_count_ < lent_count_ + 1) {
     OpenOne();
--- a/kingcuplock/gateway/member_connection_pool.h
+++ b/kingcuplock/gateway/member_connection_pool.h
@@ -110,11 +110,17 @@
   /// Lends the free connection that needs the fewest statements to get the
   /// state of `session` and `prepared` (or nullptr). Returns its id. If none is
   /// free, returns 0 and opens another one if the limits allow. Transactions
-  /// leave one connection for single statements. O(connections).
+  /// leave one connection for single statements. For the gateway's own
+  /// statements, lends the free connection that was accepted first.
+  /// O(connections).
   auto Acquire(const SessionState& session,
                const PreparedStatement* prepared,
                ConnectionUse connection_use) -> ConnectionId;
 
+  /// Returns when the member accepted an open connection. Throws
+  /// std::out_of_range if there is no such connection.
+  auto AcceptedSince(ConnectionId connection) const -> Time;
+
   /// Opens another connection if the limits allow and no more are being opened
   /// than are lent. Returns whether one is being opened.
   auto EnsureOpening(ConnectionUse connection_use) -> bool;
--- a/kingcuplock/gateway/promotion_grants.cc
+++ b/kingcuplock/gateway/promotion_grants.cc
@@ -338,6 +338,11 @@
 // their pause by a restart of their own.
 auto PromotionDuty::RecordAndOrder(const std::string& member) -> void {
   phase_ = Phase::kAwaitingPermit;
+  if (!permit_.HasNoOtherUnresolvedOrder(member, timers_.Now())) {
+    // The record holds one order only.
+    AbandonAttempt("an earlier order may still be carried out");
+    return;
+  }
   if (permit_.recorded_member() == member && unanswered_records_ == 0) {
     OrderWhenPermitted(member);
     return;
--- a/kingcuplock/grants/grant_rules.h
+++ b/kingcuplock/grants/grant_rules.h
@@ -32,6 +32,10 @@
   static constexpr bool kRecordOrders = true;
   /// Evidence requires a report from every other member.
   static constexpr bool kRequireAllReports = true;
+  /// Evidence requires members that the instance has observed for as long as an
+  /// order may take, or a record that shows no open order. A member loses its
+  /// pause by a restart.
+  static constexpr bool kRequireObservedMembers = true;
   /// A new holder waits until its predecessor can no longer order or grant.
   static constexpr bool kWaitForPredecessor = true;
   /// An order is sent only while the holder's lease is valid.
@@ -50,6 +54,7 @@
   { T::kRequireEffectivePause } -> std::convertible_to<bool>;
   { T::kRecordOrders } -> std::convertible_to<bool>;
   { T::kRequireAllReports } -> std::convertible_to<bool>;
+  { T::kRequireObservedMembers } -> std::convertible_to<bool>;
   { T::kWaitForPredecessor } -> std::convertible_to<bool>;
   { T::kRequireValidLease } -> std::convertible_to<bool>;
   { T::kSingleUnresolvedOrder } -> std::convertible_to<bool>;
--- a/kingcuplock/grants/grants_test.cc
+++ b/kingcuplock/grants/grants_test.cc
@@ -41,7 +41,7 @@
 }
 
 TEST_CASE("Evidence requires a report from every other member") {
-  PrimaryEvidence<> evidence("m1", 3, {"m2", "m3"}, kNow);
+  PrimaryEvidence<> evidence("m1", 3, {"m2", "m3"}, kNow, Time{});
   const auto report = ReplicaReport(3);
   evidence.NoteReport("m2", &report);
   CHECK_FALSE(evidence.IsComplete());
@@ -51,7 +51,7 @@
 }
 
 TEST_CASE("A primary that is the only registered member has no evidence") {
-  CHECK_FALSE(PrimaryEvidence<>("m1", 3, {}, kNow).ProvesPrimary());
+  CHECK_FALSE(PrimaryEvidence<>("m1", 3, {}, kNow, Time{}).ProvesPrimary());
 }
 
 TEST_CASE(
@@ -59,7 +59,7 @@
     "evidence") {
   for (const auto& other : {PrimaryReport(3), PrimaryReport(4),
                             ReplicaReport(4), ReplicaReport(3, 4)}) {
-    PrimaryEvidence<> evidence("m1", 3, {"m2"}, kNow);
+    PrimaryEvidence<> evidence("m1", 3, {"m2"}, kNow, Time{});
     evidence.NoteReport("m2", &other);
     CHECK_FALSE(evidence.ProvesPrimary());
   }
@@ -67,7 +67,7 @@
 
 TEST_CASE(
     "A replaced primary that goes on serving does not refute its successor") {
-  PrimaryEvidence<> evidence("m2", 4, {"m1", "m3"}, kNow);
+  PrimaryEvidence<> evidence("m2", 4, {"m1", "m3"}, kNow, Time{});
   const auto stale = PrimaryReport(3);
   const auto replica = ReplicaReport(4, 4);
   evidence.NoteReport("m1", &stale);
@@ -77,6 +77,45 @@
   CHECK_FALSE(evidence.Grant().Covers("m2", kNow + kGrantDuration));
 }
 
+// Guards against the report of a member that has lost its pause by a restart.
+TEST_CASE("A member observed for less than an order may take needs a record") {
+  const auto restarted = kNow - kMaxOrderDelay + Milliseconds(1);
+  auto report = ReplicaReport(3);
+  report.connected_since = restarted;
+  PrimaryEvidence<> evidence("m1", 3, {"m2"}, kNow, Time{});
+  evidence.NoteReport("m2", &report);
+  CHECK_FALSE(evidence.ProvesPrimary());
+  REQUIRE(evidence.NeedsRecord());
+
+  auto settled = evidence;
+  settled.NoteRecord(OrderRecord{3});
+  CHECK(settled.ProvesPrimary());
+  auto open = evidence;
+  open.NoteRecord(OrderRecord{3, "m2"});
+  CHECK_FALSE(open.ProvesPrimary());
+  auto open_for_primary = evidence;
+  open_for_primary.NoteRecord(OrderRecord{3, "m1"});
+  CHECK(open_for_primary.ProvesPrimary());
+  auto orders_unknown = evidence;
+  orders_unknown.NoteRecord(OrderRecord{3, "", true});
+  CHECK_FALSE(orders_unknown.ProvesPrimary());
+  auto later_term = evidence;
+  later_term.NoteRecord(OrderRecord{4});
+  CHECK_FALSE(later_term.ProvesPrimary());
+  auto unknown = evidence;
+  unknown.NoteRecord(std::nullopt);
+  CHECK_FALSE(unknown.ProvesPrimary());
+}
+
+// Guards against a list of members that lacks the one that is being promoted.
+TEST_CASE("Evidence needs a record after a member was removed") {
+  const auto report = ReplicaReport(3);
+  PrimaryEvidence<> evidence("m1", 3, {"m2"}, kNow, kNow - Milliseconds(100));
+  evidence.NoteReport("m2", &report);
+  CHECK_FALSE(evidence.ProvesPrimary());
+  CHECK(evidence.NeedsRecord());
+}
+
 TEST_CASE("A new holder waits for its predecessor's lease or confirmation") {
   PromotionPermit<> silent(kNow, kNow + kLease, kNow);
   const auto forever = Time::max();
--- a/kingcuplock/grants/primary_grant.h
+++ b/kingcuplock/grants/primary_grant.h
@@ -28,6 +28,9 @@
 /// platform documents a few hundred. A promotion may be ordered this long
 /// before the last grant ends.
 constexpr Milliseconds kMinPromotionTime{200};
+/// Longest time in ms after which an order without an answer may still be
+/// carried out; the platform documents several seconds.
+constexpr Milliseconds kMaxOrderDelay{6000};
 /// Time in ms that a statement may take to reach a member: a round trip between
 /// data centres. It is subtracted from the validity of a grant before a write
 /// is sent.
--- a/kingcuplock/grants/promotion_permit.h
+++ b/kingcuplock/grants/promotion_permit.h
@@ -26,10 +26,6 @@
 
 namespace kingcuplock {
 
-/// Longest time in ms after which an order without an answer may still be
-/// carried out; the platform documents several seconds.
-constexpr Milliseconds kMaxOrderDelay{6000};
-
 /// Not thread safe. O(log n) in members.
 template <GrantRules Rules = AllGrantRules>
 class PromotionPermit {
--- a/kingcuplock/ownership/ownership_keeper.cc
+++ b/kingcuplock/ownership/ownership_keeper.cc
@@ -611,6 +611,22 @@
                                                     : &*it->second.record;
 }
 
+void OwnershipKeeper::ReadRecord(
+    const std::string& database,
+    std::function<void(const OwnerRecord*)> callback) {
+  StoreCall call;
+  call.op = StoreOp::kGet;
+  call.key = RecordKey(database);
+  store_.Call(std::move(call), [this, callback = std::move(callback)](
+                                   const StoreAnswer* answer) {
+    const auto found = answer != nullptr && !answer->items.empty();
+    const auto record =
+        found ? ParseRecord(answer->items.front().value) : std::nullopt;
+    const auto is_current = record && !IsOfEarlierEra(*record);
+    callback(is_current ? &*record : nullptr);
+  });
+}
+
 auto OwnershipKeeper::Owns(std::string_view database) const -> bool {
   const auto it = entries_.find(database);
   return it != entries_.end() && it->second.owned;
--- a/kingcuplock/ownership/ownership_keeper.h
+++ b/kingcuplock/ownership/ownership_keeper.h
@@ -153,6 +153,12 @@
   /// is valid until the record changes.
   auto RecordOf(std::string_view database) const -> const OwnerRecord*;
 
+  /// Reads the record of a database from the store, as it is at the time of the
+  /// call or later. Calls back with nullptr if the store does not answer, or
+  /// has no record that can be relied on.
+  void ReadRecord(const std::string& database,
+                  std::function<void(const OwnerRecord*)> callback);
+
   /// Returns whether this instance owns the database.
   auto Owns(std::string_view database) const -> bool;
 
--- a/kingcuplock/statement/statement.h
+++ b/kingcuplock/statement/statement.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <vector>
 
+#include "kingcuplock/base/timer_service.h"
 #include "kingcuplock/session/log_position.h"
 
 namespace kingcuplock {
@@ -108,6 +109,9 @@
   std::int64_t busy = 0;
   /// Number of open connections.
   std::int64_t connections = 0;
+  /// When the member accepted the connection on which this report came, by the
+  /// receiver's clock. The member has been running since then.
+  Time connected_since{};
 
   /// Returns whether replication is stopped. A kPause for a term that the
   /// member has reached has no effect.
--- a/proofs/grant_model/grant_model.h
+++ b/proofs/grant_model/grant_model.h
@@ -64,7 +64,7 @@
   }
 
  private:
-  static constexpr int kSteps = 320;
+  static constexpr int kSteps = 640;
   /// Exclusive limit of the time between two steps.
   static constexpr std::uint64_t kMaxStepMs = 60;
   static constexpr Milliseconds kLeaseDuration{1500};
@@ -78,6 +78,7 @@
     bool acts_as_primary = false;
     /// Term of the promotion that it is paused for; 0 if it is not paused.
     std::int64_t paused_term = 0;
+    Time started_at{};
   };
   /// An instance that can hold the promotion duty.
   struct Holder {
@@ -156,7 +157,7 @@
       case 9:
         return RenewLease(RandomBelow(2));
       case 10:
-        return OneIn(4) ? RestartHolder(RandomBelow(2)) : StallRandomProcess();
+        return TakeRandomRestart();
       default:
         return TransferDuty();
     }
@@ -260,23 +261,39 @@
     }
     const auto evidence = std::make_shared<PrimaryEvidence<Rules>>(
         MemberName(apparent_primary), members_[apparent_primary].term, others,
-        now_);
+        now_, Time{});
     for (const auto& it : others) {
       if (OneIn(4)) {
         evidence->NoteReport(it, nullptr);
-        TakeGrantFromEvidence(instance, *evidence);
+        OnReport(instance, evidence);
         continue;
       }
       SendMessage([this, instance, it, evidence] {
         SendMessage([this, instance, it, evidence,
                      report = MakeReport(members_[MemberIndex(it)])] {
           evidence->NoteReport(it, &report);
-          TakeGrantFromEvidence(instance, *evidence);
+          OnReport(instance, evidence);
         });
       });
     }
   }
 
+  auto OnReport(std::size_t instance,
+                const std::shared_ptr<PrimaryEvidence<Rules>>& evidence)
+      -> void {
+    if (!evidence->IsComplete() || !evidence->NeedsRecord()) {
+      TakeGrantFromEvidence(instance, *evidence);
+      return;
+    }
+    SendMessage([this, instance, evidence] {
+      const OrderRecord record{recorded_term_, recorded_order_};
+      SendMessage([this, instance, evidence, record] {
+        evidence->NoteRecord(record);
+        TakeGrantFromEvidence(instance, *evidence);
+      });
+    });
+  }
+
   auto TakeGrantFromEvidence(std::size_t instance,
                              const PrimaryEvidence<Rules>& evidence) -> void {
     if (evidence.IsComplete() && evidence.ProvesPrimary() &&
@@ -478,6 +495,9 @@
   auto RecordOrder(std::size_t holder_index) -> void {
     const auto epoch = holders_[holder_index].epoch;
     const auto name = MemberName(holders_[holder_index].candidate);
+    if (!holders_[holder_index].permit.HasNoOtherUnresolvedOrder(name, now_)) {
+      return;
+    }
     SendMessage([this, holder_index, epoch, name] {
       if (revoked_[holder_index] || holders_[holder_index].epoch != epoch ||
           !holders_[holder_index].promoting) {
@@ -498,7 +518,9 @@
     if (holder.active && !revoked_[holder_index] && !ordering &&
         now_ >= holder.stalled_until &&
         holder.permit.EffectsPendingUntil(now_, ordering) <= now_) {
+      UpdateKnownPrimary(holder);
       recorded_order_.clear();
+      recorded_term_ = holder.term;
       holder.permit.NoteOrderRecorded("", now_);
     }
   }
@@ -508,6 +530,7 @@
     report.is_primary = member.acts_as_primary;
     report.term = member.term;
     report.paused_term = member.paused_term;
+    report.connected_since = member.started_at;
     return report;
   }
 
@@ -589,6 +612,26 @@
     }
   }
 
+  auto TakeRandomRestart() -> void {
+    if (OneIn(4)) {
+      return RestartHolder(RandomBelow(2));
+    }
+    if (OneIn(3)) {
+      return RestartReplica(RandomBelow(kMembers));
+    }
+    StallRandomProcess();
+  }
+
+  // A replica ends and starts again, without its pause.
+  auto RestartReplica(std::size_t member) -> void {
+    if (members_[member].acts_as_primary) {
+      return;
+    }
+    members_[member].paused_term = 0;
+    members_[member].started_at = now_;
+    AddToTrace(MemberName(member) + " restarts");
+  }
+
   auto StallRandomProcess() -> void {
     const auto until = now_ + Milliseconds(RandomBelow(2500));
     if (OneIn(2)) {
@@ -615,6 +658,8 @@
   std::array<bool, 2> forgot_{};
   /// Member of the open order that the store holds, empty for none.
   std::string recorded_order_;
+  /// Newest term that the store holds.
+  std::int64_t recorded_term_ = 0;
   /// When the last effect of a holder's earlier duties is over, by holder.
   std::array<Time, 2> effects_end_{};
   std::array<Instance, kInstances> instances_;
--- a/proofs/grant_model/grant_model_test.cc
+++ b/proofs/grant_model/grant_model_test.cc
@@ -64,6 +64,12 @@
   CHECK(FindsFault<WithoutAllReports>());
 }
 
+// Guards against the reports of members that lost their pause by a restart
+// while an order was open.
+TEST_CASE("Fault found if a member that has just started is evidence") {
+  CHECK(FindsFault<WithoutObservedMembers>());
+}
+
 TEST_CASE("Fault found if a holder acts while its predecessor still can") {
   CHECK(FindsFault<WithoutWaitForPredecessor>());
 }
--- a/proofs/grant_model/grant_rule_sets.h
+++ b/proofs/grant_model/grant_rule_sets.h
@@ -29,6 +29,9 @@
 struct WithoutAllReports : AllGrantRules {
   static constexpr bool kRequireAllReports = false;
 };
+struct WithoutObservedMembers : AllGrantRules {
+  static constexpr bool kRequireObservedMembers = false;
+};
 struct WithoutWaitForPredecessor : AllGrantRules {
   static constexpr bool kWaitForPredecessor = false;
 };
