Promotion duty: a former holder's confirmation does not settle the recorded order

Cause: a holder that has restarted keeps the name of its own predecessor in the record. That predecessor confirmed that no order of its own was open, and the confirmation was taken for the recorded order too, which the holder's earlier run had sent. A confirmation now says only that the former holder acts no more; the recorded order ends as it does without one.

--- a/kingcuplock/gateway/promotion_duty.h
+++ b/kingcuplock/gateway/promotion_duty.h
@@ -115,7 +115,7 @@
   auto SetEpoch(std::int64_t epoch) -> void;
 
   /// Records that the former holder gave up the duty; `term` is the newest term
-  /// that it knew, 0 if it does not know whether one of its orders is open.
+  /// that it knew, 0 if none. It counts only if no order is recorded.
   auto NoteSteppedDown(std::int64_t term) -> void;
 
   /// Stops all grants and orders, because the duty is about to be released.
--- a/kingcuplock/gateway/promotion_grants.cc
+++ b/kingcuplock/gateway/promotion_grants.cc
@@ -61,13 +61,12 @@
 }
 
 auto PromotionDuty::NoteSteppedDown(std::int64_t term) -> void {
-  if (exclusive_) {
-    return;
-  }
-  if (term > 0) {
+  const auto order_recorded =
+      !options_.recorded_order.empty() || options_.orders_unknown;
+  if (term > 0 && !order_recorded) {
     predecessor_term_ = std::max(term, options_.term);
-    permit_.NoteOrdersResolved();
   }
+  // An order in the record may be of a later run than the one that confirms.
   permit_.NoteSteppedDown(timers_.Now());
 }
 
--- a/kingcuplock/grants/promotion_permit.h
+++ b/kingcuplock/grants/promotion_permit.h
@@ -150,9 +150,6 @@
                        });
   }
 
-  /// Records that no order can be carried out any more.
-  auto NoteOrdersResolved() -> void { unresolved_until_.clear(); }
-
   /// Removes the unresolved orders that can no longer be carried out; returns
   /// whether there was one.
   auto ForgetExpiredOrders(Time now) -> bool {
--- a/testing/gateway_fixture.h
+++ b/testing/gateway_fixture.h
@@ -112,7 +112,7 @@
 
   /// Stops a member; its connections end.
   auto CrashMember(const std::string& member) -> void;
-  /// Starts a stopped member.
+  /// Starts a member again, after stopping it if it runs.
   auto RestartMember(const std::string& member) -> void;
   /// Starts or ends the loss of all messages from and to a member.
   auto SetUnresponsive(const std::string& member, bool unresponsive) -> void;
