Planned stop: new operations are refused in time, and the end tells every outcome

Cause: a stop closed a session only if a check every 20 ms found it idle. A session whose next operation follows at once hardly ever is, so it was served, new transactions included, until the process ended under its statements.

Now a stop has phases, which gateway and daemon share: until half of its time as before; then new sessions and operations are refused with BUSY, which is true, and their sessions closed, while open transactions go on; from 70% on these are rolled back at their next statement (ABORTED); at the end every statement that still runs or waits gets an answer that says what is known of it (UNKNOWN for a commit or a single write that was sent, otherwise a promise) before its connection closes. The daemon did so already; only its constant has moved.

Ruled out: closing a session right after an answer. The client's next statement may be on its way, and a single write or a COMMIT is not repeated after a broken connection; after BUSY it is.

--- a/kingcuplock/gateway/gateway.cc
+++ b/kingcuplock/gateway/gateway.cc
@@ -91,6 +91,8 @@
           [this](const std::string& it) { return routes_.FindRoute(it); },
           [this](const std::string& it) { return FindGroup(it); },
           [this] { return Milliseconds(routes_.table().transaction_idle_ms); },
+          [this] { return PhaseOfOwnStop(); },
+          [this](ConnectionId client) { CloseRefusedSession(client); },
           observer_.answered} {}
 
 Gateway::~Gateway() {
@@ -134,9 +136,9 @@
     sessions_.erase(client);
     return;
   }
-  if (stop_complete_) {
+  if (PhaseOfOwnStop() >= StopPhase::kRefusingNew) {
     answer.error = StatementError::kBusy;
-    answer.text = "the instance has stopped; connect again";
+    answer.text = "the instance is about to stop; connect again";
   } else if (routes_.table().version == 0) {
     answer.error = StatementError::kBusy;
     answer.text = "no configuration is known yet; retry after 500 ms";
--- a/kingcuplock/gateway/gateway.h
+++ b/kingcuplock/gateway/gateway.h
@@ -188,7 +188,10 @@
   // Planned stop.
   auto ReleaseDuties() -> void;
   auto ContinueStop() -> void;
+  auto PhaseOfOwnStop() const -> StopPhase;
   auto CloseIdleSessions() -> void;
+  auto CloseRefusedSession(ConnectionId client) -> void;
+  auto EndAllSessions() -> void;
   auto FinishStop() -> void;
 
   GatewaySettings settings_;
--- a/kingcuplock/gateway/gateway_stop.cc
+++ b/kingcuplock/gateway/gateway_stop.cc
@@ -22,6 +22,11 @@
 /// Time in ms before the platform kills the process at which the stop ends the
 /// remaining sessions.
 constexpr Milliseconds kStopReserve{400};
+/// By the middle of the stop, clients have found another instance. An open
+/// transaction has until then to end, and what is sent to a member later still
+/// has time for its answer.
+constexpr PlannedStopTimes kStopTimes{.refuse_new_percent = 50,
+                                      .end_transactions_percent = 70};
 /// Maximum number of idle sessions closed in one check, so that their clients
 /// don't all reconnect at once.
 constexpr std::size_t kMaxClosedPerCheck = 8;
@@ -95,15 +100,25 @@
   if (left_rotation) {
     CloseIdleSessions();
   }
-  const auto last_moment = Milliseconds(settings_.stop_ms) - kStopReserve;
   const auto none_left = left_rotation && sessions_.empty();
-  if (none_left || stopping_for >= last_moment) {
+  if (none_left || PhaseOfOwnStop() == StopPhase::kEnding) {
     FinishStop();
     return;
   }
   timers_.After(kStopCheckInterval, [this] { ContinueStop(); });
 }
 
+auto Gateway::PhaseOfOwnStop() const -> StopPhase {
+  if (!stopping_since_) {
+    return StopPhase::kServing;
+  }
+  return stop_complete_
+             ? StopPhase::kEnding
+             : PhaseOfStop(timers_.Now() - *stopping_since_,
+                           Milliseconds(settings_.stop_ms) - kStopReserve,
+                           kStopTimes);
+}
+
 auto Gateway::CloseIdleSessions() -> void {
   std::vector<ConnectionId> idle;
   for (const auto& [client, session] : sessions_) {
@@ -117,11 +132,33 @@
   }
 }
 
+// The session is the caller, so it is closed from the event loop.
+auto Gateway::CloseRefusedSession(ConnectionId client) -> void {
+  timers_.After(Duration::zero(), [this, client] {
+    const auto it = sessions_.find(client);
+    if (it != sessions_.end() && it->second->IsIdle()) {
+      out_.Add(CloseStream{client});
+      sessions_.erase(it);
+    }
+  });
+}
+
+// A statement that a member still runs gets an answer that says so, as a client
+// can't tell what became of it from the end of its connection.
+auto Gateway::EndAllSessions() -> void {
+  for (const auto& [client, session] : sessions_) {
+    session->EndRunningStatements();
+    out_.Add(CloseStream{client});
+  }
+  sessions_.clear();
+}
+
 auto Gateway::FinishStop() -> void {
   stop_complete_ = true;
   shell_.Log(Event::kProxyStopped,
              {{"instance", settings_.instance},
               {"sessions_cut", std::to_string(sessions_.size())}});
+  EndAllSessions();
   duty_ownership_.RevokeLease();
   shell_.CompleteStop();
 }
--- a/kingcuplock/gateway/gateway_stop_test.cc
+++ b/kingcuplock/gateway/gateway_stop_test.cc
@@ -1,3 +1,8 @@
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
 #include <doctest/doctest.h>
 
 #include "testing/gateway_fixture.h"
@@ -38,6 +43,135 @@
   CHECK(world.FindViolations().empty());
 }
 
+/// A client that sends its next statement as soon as it has an answer, until
+/// its connection ends: single statements, or transactions.
+class BusyClient {
+ public:
+  BusyClient(GatewayFixture& world, std::string name, int transaction_length)
+      : world_(world),
+        name_(std::move(name)),
+        transaction_length_(transaction_length),
+        client_(world.OpenClient(0, "db-primary")) {}
+
+  auto SendNext() -> void {
+    const auto* answer = sent_ ? world_.FindAnswer(*sent_) : nullptr;
+    if (!world_.IsClientOpen(client_) || (sent_ && answer == nullptr)) {
+      return;
+    }
+    const auto failed =
+        answer != nullptr && answer->state == TransactionState::kFailed;
+    const auto in_transaction =
+        answer != nullptr && answer->state == TransactionState::kOpen;
+    auto kind = StatementKind::kRead;
+    if (failed) {
+      kind = StatementKind::kRollback;
+    } else if (transaction_length_ > 0 && !in_transaction) {
+      kind = StatementKind::kBegin;
+      position_ = 0;
+    } else if (transaction_length_ > 0 && ++position_ > transaction_length_) {
+      kind = StatementKind::kCommit;
+    } else if (position_ % 3 == 0) {
+      kind = StatementKind::kWrite;
+    }
+    sent_ = world_.SendClientStatement(
+        client_, name_ + "-" + std::to_string(++count_), kind, "a 1");
+  }
+
+ private:
+  GatewayFixture& world_;
+  std::string name_;
+  int transaction_length_;
+  std::size_t client_;
+  std::optional<std::size_t> sent_;
+  int position_ = 0;
+  int count_ = 0;
+};
+
+/// Stops the gateway under busy clients, and ends its process when the stop is
+/// complete.
+auto StopUnderBusyClients(GatewayFixture& world) -> void {
+  world.RunFor(kStart);
+  std::vector<BusyClient> clients;
+  for (auto n = 0; n < 6; ++n) {
+    clients.emplace_back(world, "s" + std::to_string(n), 0);
+    clients.emplace_back(world, "t" + std::to_string(n), 10);
+  }
+  const auto run = [&](Duration length) {
+    const auto end = world.Now() + length;
+    while (world.Now() < end && !world.IsStopped(0)) {
+      for (auto& it : clients) {
+        it.SendNext();
+      }
+      world.RunFor(Milliseconds(1));
+    }
+  };
+  run(Milliseconds(500));
+  world.StopGateway(0);
+  world.gateway(0).AnswerReadinessProbe();
+  run(Milliseconds(1000));
+  world.gateway(0).AnswerReadinessProbe();
+  run(Milliseconds(6000));
+  // The process sends its last answers for this long.
+  world.RunFor(Milliseconds(60));
+  world.KillGateway(0);
+  world.RunFor(Milliseconds(20));
+}
+
+// Guards against statements that are cut by a planned stop: a session that
+// sends one operation after the other is never idle when the stop checks it.
+TEST_CASE("A planned stop answers every statement of busy sessions") {
+  for (const auto work_ms : {5, 30, 120, 400}) {
+    CAPTURE(work_ms);
+    GatewayFixture world({.gateways = 1,
+                          .work = Milliseconds(work_ms),
+                          .timeout_ms = 4000,
+                          .target_ms = 1000});
+    StopUnderBusyClients(world);
+    CHECK(world.CountSuccessfulStatements() > 40);
+    std::map<std::string, const ClientStatement*> by_id;
+    for (const auto& it : world.client_statements()) {
+      by_id[it.statement.id] = &it;
+    }
+    for (const auto& it : world.group().runs()) {
+      const auto found = by_id.find(it.id);
+      if (found != by_id.end()) {
+        CHECK_MESSAGE(found->second->answer.has_value(), it.id);
+      }
+    }
+    CHECK(world.FindViolations().empty());
+  }
+}
+
+// Guards against statements that end with their connection at the end of a
+// stop: the member has not answered them by then.
+TEST_CASE("The end of a planned stop tells the outcome of what still runs") {
+  GatewayFixture world({.gateways = 1, .timeout_ms = 20'000});
+  world.RunFor(kStart);
+  const auto client = world.OpenClient(0, "db-primary");
+  const auto transaction = world.OpenClient(0, "db-primary");
+  world.SendClientStatement(transaction, "b", StatementKind::kBegin);
+  world.SendClientStatement(transaction, "t", StatementKind::kWrite, "a 1");
+  world.RunFor(Milliseconds(50));
+  world.LoseAnswers("m1", 9);
+  const auto write =
+      world.SendClientStatement(client, "w", StatementKind::kWrite, "a 1");
+  const auto behind =
+      world.SendClientStatement(client, "r", StatementKind::kRead, "a");
+  const auto commit =
+      world.SendClientStatement(transaction, "c", StatementKind::kCommit);
+  world.RunFor(Milliseconds(50));
+  world.StopGateway(0);
+  world.RunFor(Milliseconds(6000));
+  REQUIRE(world.IsStopped(0));
+  REQUIRE(world.FindAnswer(write) != nullptr);
+  CHECK(world.FindAnswer(write)->error == StatementError::kUnknownOutcome);
+  REQUIRE(world.FindAnswer(behind) != nullptr);
+  CHECK(world.FindAnswer(behind)->error == StatementError::kBusy);
+  REQUIRE(world.FindAnswer(commit) != nullptr);
+  CHECK(world.FindAnswer(commit)->error == StatementError::kUnknownOutcome);
+  CHECK(world.FindViolations().empty());
+}
+
 // Guards against a session that opens after the last one has ended and before
 // the process ends.
 TEST_CASE("No session opens once the stop is complete") {
--- a/kingcuplock/gateway/group.h
+++ b/kingcuplock/gateway/group.h
@@ -122,6 +122,9 @@
   /// Drops a task whose client has disconnected; its callback isn't called.
   auto Cancel(const StatementTaskPtr& task) -> void;
 
+  /// Ends a task now, as at its deadline. `why` becomes part of its answer.
+  auto EndTask(const StatementTaskPtr& task, std::string_view why) -> void;
+
   /// Handles a peer's report about this group's primary. If the peer can't
   /// reach the primary, this instance probes it as well.
   auto NotePeerReport(const GroupReport& report) -> void;
--- a/kingcuplock/gateway/group_outcome.cc
+++ b/kingcuplock/gateway/group_outcome.cc
@@ -143,11 +143,18 @@
 }
 
 auto Group::OnDeadline(const StatementTaskPtr& task) -> void {
+  EndTask(task, task->running_attempts == 0
+                    ? "no member could take it in time"
+                    : "the member did not answer within the route's timeout");
+}
+
+auto Group::EndTask(const StatementTaskPtr& task, std::string_view why)
+    -> void {
   if (task->done) {
     return;
   }
   if (task->running_attempts == 0) {
-    RefuseTask(task, "no member could take it in time");
+    RefuseTask(task, why);
     return;
   }
   const auto writes = IsWrite(task->statement, task->prepared_ptr());
@@ -157,7 +164,7 @@
   StatementTaskResult result;
   result.answer.error =
       may_have_run ? StatementError::kUnknownOutcome : StatementError::kAborted;
-  result.answer.text = "the member did not answer within the route's timeout";
+  result.answer.text = std::string(why);
   FinishTask(task, std::move(result));
 }
 
--- a/kingcuplock/gateway/session.cc
+++ b/kingcuplock/gateway/session.cc
@@ -111,6 +111,9 @@
                 "the transaction was rolled back after its idle time");
     return;
   }
+  if (RefuseForStop(statement)) {
+    return;
+  }
   if (IsLocal(statement.kind)) {
     AnswerLocally(statement);
   } else {
@@ -118,6 +121,54 @@
   }
 }
 
+// Refuses a statement that might not be answered before the instance stops. A
+// client that sends one operation after the other leaves no moment at which its
+// session could be closed without a loss.
+auto Session::RefuseForStop(const SessionStatement& statement) -> bool {
+  const auto phase = callbacks_.stop_phase();
+  const auto open = transaction_state_ == TransactionState::kOpen;
+  const auto commits = statement.kind == StatementKind::kCommit;
+  const auto begins = statement.kind == StatementKind::kBegin ||
+                      statement.kind == StatementKind::kBeginReadOnly;
+  const auto begins_operation =
+      !open && (begins || (!IsLocal(statement.kind) && !commits));
+  if (begins_operation && phase >= StopPhase::kRefusingNew) {
+    AnswerError(StatementError::kBusy,
+                "the instance is about to stop; connect again");
+    callbacks_.refused_for_stop(client_);
+    return true;
+  }
+  if (!open || statement.kind == StatementKind::kRollback ||
+      phase < StopPhase::kEndingTransactions) {
+    return false;
+  }
+  if (pinned_) {
+    auto pinned = std::exchange(pinned_, {});
+    RollBackAndRelease(pinned.pool, pinned.link, "");
+  }
+  if (commits) {
+    transaction_state_ = TransactionState::kIdle;
+  }
+  AnswerError(StatementError::kAborted,
+              "the instance is about to stop and has rolled the transaction "
+              "back; connect again and start it again");
+  callbacks_.refused_for_stop(client_);
+  return true;
+}
+
+auto Session::EndRunningStatements() -> void {
+  if (task_) {
+    if (auto* group = callbacks_.group(route_.group)) {
+      group->EndTask(task_, "the instance stops");
+    }
+  } else if (pinned_ && busy_ && pinned_deadline_ != 0) {
+    // This calls OnPinnedAnswer() with nullptr, for a lost connection.
+    pinned_.pool->Discard(pinned_.link);
+  } else if (pinned_ && busy_) {
+    OnCommitGrantMissing();
+  }
+}
+
 auto Session::AnswerLocally(const SessionStatement& statement) -> void {
   switch (statement.kind) {
     case StatementKind::kBegin:
--- a/kingcuplock/gateway/session.h
+++ b/kingcuplock/gateway/session.h
@@ -16,6 +16,7 @@
 #include <string>
 
 #include "kingcuplock/actions/outbox.h"
+#include "kingcuplock/admission/planned_stop.h"
 #include "kingcuplock/base/callback_guard.h"
 #include "kingcuplock/base/timer_service.h"
 #include "kingcuplock/gateway/gateway_outbox.h"
@@ -35,6 +36,11 @@
   std::function<Group*(const std::string& group)> group;
   /// Returns the idle time after which an open transaction is rolled back.
   std::function<Milliseconds()> transaction_idle;
+  /// Returns the phase of the instance's planned stop.
+  std::function<StopPhase()> stop_phase;
+  /// Reports that an operation was refused because of the stop. The session is
+  /// then closed as soon as it is idle.
+  std::function<void(ConnectionId client)> refused_for_stop;
   /// Reports that a statement was answered, `latency` after it began to run.
   std::function<void(StatementError, Duration latency)> answered;
 };
@@ -63,6 +69,10 @@
   /// Runs the client's next statement, after those that it sent before.
   auto HandleStatement(SessionStatement statement) -> void;
 
+  /// Ends what runs or waits with an answer that says what is known of its
+  /// outcome.
+  auto EndRunningStatements() -> void;
+
   /// Returns whether the session has no open transaction and no statement that
   /// runs or waits.
   auto IsIdle() const -> bool {
@@ -75,6 +85,7 @@
  private:
   auto RunNextStatement() -> void;
   auto RunStatement(SessionStatement statement) -> void;
+  auto RefuseForStop(const SessionStatement& statement) -> bool;
   auto AnswerLocally(const SessionStatement& statement) -> void;
   auto BeginTransaction(const SessionStatement& statement) -> void;
   auto RollBackTransaction(const SessionStatement& statement) -> void;
--- a/kingcuplock/node/node_lifecycle.cc
+++ b/kingcuplock/node/node_lifecycle.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "kingcuplock/admission/planned_stop.h"
 #include "kingcuplock/manifest/manifest_check.h"
 #include "kingcuplock/node/node.h"
 #include "kingcuplock/routing/rendezvous.h"
@@ -13,9 +14,9 @@
 /// Time in ms without requests or owned databases after which a planned stop
 /// completes.
 constexpr Milliseconds kStopQuietPeriod{300};
-/// Part in percent of the time for a planned stop after which new requests are
-/// refused, so that pending requests are answered before the end.
-constexpr int kServeWhileLeavingPercent = 70;
+/// New requests are refused so early that pending requests are answered before
+/// the end.
+constexpr PlannedStopTimes kStopTimes{.refuse_new_percent = 70};
 /// Longest time in ms for which an owner drains before it is replaced. The
 /// successor resolves requests that still run then, by their request ids.
 constexpr Milliseconds kOwnerDrainTimeout{1000};
@@ -190,14 +191,15 @@
   }
   last_busy_time_ =
       std::max(last_busy_time_, request_router_.LastRequestTime());
-  if (now - stop_begin_time_ >= limit * kServeWhileLeavingPercent / 100) {
+  const auto phase = PhaseOfStop(now - stop_begin_time_, limit, kStopTimes);
+  if (phase >= StopPhase::kRefusingNew) {
     request_router_.RefuseNewRequests();
   }
-  if (now - stop_begin_time_ >= limit) {
+  if (phase == StopPhase::kEnding) {
     request_router_.AnswerAllPendingRequests(ErrorKind::kLeaving);
   }
   if (now - last_busy_time_ >= kStopQuietPeriod ||
-      now - stop_begin_time_ >= limit) {
+      phase == StopPhase::kEnding) {
     request_router_.RefuseNewRequests();
     ownership_.RevokeLease();
     outbox_.CompleteStop();
--- a/testing/gateway_fixture.cc
+++ b/testing/gateway_fixture.cc
@@ -297,13 +297,24 @@
   client_statements_.push_back(std::move(record));
   client.unanswered.push_back(client_statements_.size() - 1);
   RunAfter(options_.delay, client.gateway,
-           [this, gateway = client.gateway, connection = client.connection,
+           [this, number, gateway = client.gateway,
             statement = std::move(statement)] {
-             nodes_[gateway]->gateway->OnClientStatement(connection, statement);
+             const auto& it = clients_.at(number);
+             if (!it.closed_by_gateway) {
+               nodes_[gateway]->gateway->OnClientStatement(it.connection,
+                                                           statement);
+             }
            });
   return client_statements_.size() - 1;
 }
 
+auto GatewayFixture::MarkClientClosed(ConnectionId connection) -> void {
+  if (const auto it = client_by_connection_.find(connection);
+      it != client_by_connection_.end()) {
+    clients_[it->second].closed_by_gateway = true;
+  }
+}
+
 auto GatewayFixture::CloseClient(std::size_t number) -> void {
   auto& client = clients_.at(number);
   client.open = false;
--- a/testing/gateway_fixture.h
+++ b/testing/gateway_fixture.h
@@ -95,6 +95,12 @@
                            std::string id,
                            StatementKind kind,
                            std::string arguments = "") -> std::size_t;
+  /// Returns whether the gateway has neither closed the client's connection nor
+  /// ended.
+  auto IsClientOpen(std::size_t client) const -> bool {
+    const auto& it = clients_.at(client);
+    return it.open && !it.closed_by_gateway;
+  }
   /// Closes a client's connection.
   auto CloseClient(std::size_t client) -> void;
   /// Returns the answer to a statement by its number, nullptr if there is none
@@ -249,8 +255,10 @@
     std::optional<Time> transaction_began;
     std::map<std::string, std::string> values;
     bool open = false;
+    bool closed_by_gateway = false;
   };
 
+  auto MarkClientClosed(ConnectionId connection) -> void;
   auto RunAfter(Duration delay, std::size_t node, std::function<void()> work)
       -> void;
   auto Reaches(std::size_t node, const std::string& member) const -> bool;
--- a/testing/gateway_fixture_actions.cc
+++ b/testing/gateway_fixture_actions.cc
@@ -63,8 +63,12 @@
       group_.Close(it->second.session);
       nodes_[node]->links.erase(it);
     }
+    MarkClientClosed(close->connection);
   } else if (const auto* answer = std::get_if<AnswerClient>(&action)) {
     OnAnswer(*answer, node);
+    if (answer->close_after) {
+      MarkClientClosed(answer->client);
+    }
   } else if (const auto* order = std::get_if<OrderPromotion>(&action)) {
     OnPromotionOrder(node, *order);
   }
