Promotion duty: an order that was recorded but not sent is no open order

Cause: the record of an order was cleared, and a duty released, only once the newest term was known. While the primary is down it isn't, although no order had been sent: the attempt was abandoned, or the holder stopped first.

Now a duty knows whether an order was sent, or inherited, since the record last held none. If not, the record is cleared and the duty released at once.

The new test failed before the change to the release.

--- a/kingcuplock/gateway/gateway_open_order_test.cc
+++ b/kingcuplock/gateway/gateway_open_order_test.cc
@@ -189,6 +189,38 @@
   CHECK(world.FindViolations().empty());
 }
 
+// Guards against a duty that stays with a holder that stops, and against a
+// successor that waits for an order that was only recorded.
+TEST_CASE("A holder that stops before its order is sent leaves none open") {
+  GatewayFixture world(UnfencedOptions());
+  world.RunFor(kStart);
+  Writers writers(world);
+  writers.Run(Milliseconds(300));
+  const auto holder = world.PromotionDutyHolder();
+  const auto delayed = CountEvents(world, Event::kPromotionDelayed);
+  // The next run of the holder never hears the primary and knows no term.
+  world.CrashMember("m1");
+  world.KillGateway(holder);
+  world.RunFor(Milliseconds(50));
+  world.StartGateway(holder);
+  REQUIRE(writers.Run(Milliseconds(5000), [&] {
+    return CountEvents(world, Event::kPromotionDelayed) > delayed;
+  }));
+  world.StopGateway(holder);
+  writers.Run(Milliseconds(800));
+  CHECK(world.PromotionDutyHolder() != holder);
+  world.RestartMember("m1");
+  writers.Run(Milliseconds(1200));
+  const auto client = world.OpenClient((holder + 1) % 3, "db-primary");
+  world.RunFor(Milliseconds(20));
+  const auto write =
+      world.SendClientStatement(client, "last", StatementKind::kWrite, "a 1");
+  world.RunFor(Milliseconds(300));
+  REQUIRE(world.FindAnswer(write) != nullptr);
+  CHECK(world.FindAnswer(write)->IsOk());
+  CHECK(world.FindViolations().empty());
+}
+
 // Guards against members that prove the old primary since they lost their pause
 // by a restart: the holder knows of its open order, the other instances do not.
 TEST_CASE("Restarted members prove no primary while an order is open") {
--- a/kingcuplock/gateway/gateway_stop.cc
+++ b/kingcuplock/gateway/gateway_stop.cc
@@ -77,11 +77,15 @@
   for (const auto& [name, group] : groups_) {
     const auto duty = duties_.find(name);
     const auto unsettled = !settings_.promotions_fenced &&
-                           duty != duties_.end() && !duty->second->KnownTerm();
+                           duty != duties_.end() && !duty->second->IsSettled();
     if (duty_ownership_.Owns(name) && !unsettled &&
         released_duties_.insert(name).second) {
+      // Without fencing tokens, the successor takes the term for the newest.
+      const auto term = settings_.promotions_fenced || duty == duties_.end()
+                            ? group->primary().term()
+                            : duty->second->KnownTerm().value_or(0);
       duty_ownership_.Release(
-          name, [](bool) {}, group->primary().term());
+          name, [](bool) {}, term);
     }
   }
 }
--- a/kingcuplock/gateway/promotion_duty.cc
+++ b/kingcuplock/gateway/promotion_duty.cc
@@ -56,6 +56,7 @@
   permit_.NoteOrderRecorded(options_.recorded_order, timers_.Now());
   const auto may_be_open =
       !options_.recorded_order.empty() || options_.orders_unknown;
+  order_sent_ = may_be_open;
   if (may_be_open && !options_.orders_resolved) {
     // The former holder may have sent this order until its lease ended.
     permit_.NoteUnresolvedOrder(options_.recorded_order,
@@ -350,6 +351,7 @@
     AbandonAttempt("all fencing tokens of the epoch are used");
     return;
   }
+  order_sent_ = true;
   order_id_ = callbacks_.next_order_id();
   const auto fence = epoch_ * kOrdersPerEpoch + tokens_used_;
   log_.Log(Event::kPromotionOrdered, {{"group", group_.config().name},
@@ -397,6 +399,11 @@
       callbacks_.renew_epoch(group_.config().name);
     }
   }
+  const auto not_done = outcome == PromotionOutcome::kRejected ||
+                        outcome == PromotionOutcome::kUnavailable;
+  if (not_done && !permit_.HasUnresolvedOrder(timers_.Now())) {
+    order_sent_ = false;
+  }
   if (outcome == PromotionOutcome::kLost && !options_.checks_fencing_tokens) {
     permit_.NoteUnresolvedOrder(ordered_member_, timers_.Now());
   }
--- a/kingcuplock/gateway/promotion_duty.h
+++ b/kingcuplock/gateway/promotion_duty.h
@@ -121,6 +121,13 @@
   /// Stops all grants and orders, because the duty is about to be released.
   auto StopGrantsAndOrders() -> void { stopped_ = true; }
 
+  /// Returns whether no action of this duty or the former holder can take
+  /// effect any more, and none has done so unnoticed.
+  auto IsSettled() const -> bool {
+    return EffectsPendingUntil() <= timers_.Now() &&
+           (!order_sent_ || KnownTerm().has_value());
+  }
+
   /// Returns until when an order of this duty or an action of the former holder
   /// may still take effect; no later than now if none may.
   auto EffectsPendingUntil() const -> Time {
@@ -217,6 +224,9 @@
   std::set<std::string> reported_members_;
   /// Since when the members' entries and reports count.
   Time members_asked_since_;
+  /// Whether an order may have been sent since the record last held that none
+  /// is open.
+  bool order_sent_ = false;
   /// Number of unanswered writes of the recorded order.
   int unanswered_records_ = 0;
   Time next_step_down_{};
--- a/kingcuplock/gateway/promotion_grants.cc
+++ b/kingcuplock/gateway/promotion_grants.cc
@@ -228,19 +228,21 @@
 
 // Records that no order is open, once that is certain.
 auto PromotionDuty::ClearRecordedOrder() -> void {
-  const auto term = KnownTerm();
-  if (unanswered_records_ > 0 || !term || phase_ != Phase::kMonitoring ||
-      (permit_.recorded_member().empty() && !options_.orders_unknown)) {
+  if (unanswered_records_ > 0 || phase_ != Phase::kMonitoring ||
+      (permit_.recorded_member().empty() && !options_.orders_unknown) ||
+      !IsSettled()) {
     return;
   }
+  const auto term = KnownTerm().value_or(0);
   ++unanswered_records_;
-  callbacks_.record_order(group_.config().name, "", *term,
+  callbacks_.record_order(group_.config().name, "", term,
                           guard_.Bind([this, term](bool recorded) {
                             --unanswered_records_;
                             if (recorded) {
                               permit_.NoteOrderRecorded("", timers_.Now());
+                              order_sent_ = false;
                               options_.orders_unknown = false;
-                              options_.term = std::max(options_.term, *term);
+                              options_.term = std::max(options_.term, term);
                             }
                           }));
 }
