--- a/fuzz/decoders.cc
+++ b/fuzz/decoders.cc
@@ -141,7 +141,20 @@
 
 void DecodePlatformItems(std::string_view input) {
   DecodeOrReject([&] { (void)platform::DecodeRoutes(input); });
-  DecodeOrReject([&] { (void)platform::DecodeEndpoint("i-1", input); });
+  DecodeOrReject([&] {
+    const auto entry = platform::DecodeEndpoint("i-1", input);
+    Require(entry.port > 0 && entry.port <= 65'535 && entry.slots > 0);
+  });
+  DecodeOrReject([&] {
+    const auto record =
+        DecodeFrame(input, FrameFormat::kJson).get<OwnerRecord>();
+    Require(record.epoch >= 0);
+  });
+  DecodeOrReject([&] {
+    const auto entry =
+        DecodeFrame(input, FrameFormat::kJson).get<InstanceEntry>();
+    Require(entry.port >= 0 && entry.port <= 65'535);
+  });
   const auto bytes = platform::DecodeBase64(input);
   Require(platform::DecodeBase64(platform::EncodeBase64(bytes)) == bytes);
 }
--- a/kingcuplock/base/log.cc
+++ b/kingcuplock/base/log.cc
@@ -62,6 +62,7 @@
     {kLeaseGranted, kInfo, "lease granted"},
     {kLeaseLapsed, kWarning, "lease lapsed"},
     {kEpochRaised, kInfo, "epoch raised in the database"},
+    {kOwnerRecordRejected, kWarning, "ownership record can't be read"},
     {kPrimarySuspected, kWarning, "primary suspected"},
     {kPromotionBegan, kWarning, "promotion began"},
     {kPromotionWaits, kError, "promotion waits for members"},
--- a/kingcuplock/base/log.h
+++ b/kingcuplock/base/log.h
@@ -32,6 +32,7 @@
   kLeaseGranted = 203,
   kLeaseLapsed = 204,
   kEpochRaised = 205,
+  kOwnerRecordRejected = 206,
   kPrimarySuspected = 300,
   kPromotionBegan = 301,
   kPromotionWaits = 302,
--- a/kingcuplock/gateway/endpoint_directory.h
+++ b/kingcuplock/gateway/endpoint_directory.h
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <utility>
@@ -35,22 +36,16 @@
   EndpointDirectory(TimerService& timers, std::function<void()> on_change)
       : timers_(timers), on_change_(std::move(on_change)) {}
 
-  /// Adds or replaces the entry of a member, unless `entry` is older than the
-  /// listed one.
-  auto Set(const EndpointEntry& entry) -> void {
+  /// Adds or replaces the entry of a member with one that the store delivered.
+  /// `era` counts the store's eras. An entry that is older than the listed one
+  /// by what it says of itself is ignored, unless the store delivered another
+  /// one in the same era before it.
+  auto Set(const EndpointEntry& entry, std::int64_t era) -> void {
     auto& listed = entries_[entry.member];
     listed.registered = true;
-    if (IsOlder(entry, listed.entry)) {
-      return;
-    }
-    timers_.Cancel(std::exchange(listed.removal_timer, 0));
-    // Most entries differ in nothing but their number.
-    auto same_number = entry;
-    same_number.sequence = listed.entry.sequence;
-    const auto changed = same_number != listed.entry;
-    listed.entry = entry;
-    if (changed) {
-      on_change_();
+    const auto follows = std::exchange(listed.store_era, era) == era;
+    if (follows || !IsOlder(entry, listed.entry)) {
+      Replace(listed, entry);
     }
   }
 
@@ -68,12 +63,13 @@
         }));
   }
 
-  /// Does the same with an entry that a peer told.
+  /// Adds or replaces the entry of a member with one that a peer told, unless
+  /// it is older than the listed one.
   auto SetFromPeer(const EndpointEntry& entry) -> void {
-    const auto registered =
-        entries_.contains(entry.member) && entries_[entry.member].registered;
-    Set(entry);
-    entries_[entry.member].registered = registered;
+    auto& listed = entries_[entry.member];
+    if (!IsOlder(entry, listed.entry)) {
+      Replace(listed, entry);
+    }
   }
 
   /// Removes, after the usual delay, the members that only peers told of. Call
@@ -127,10 +123,24 @@
     EndpointEntry entry;
     /// Whether the store delivered an entry of the member.
     bool registered = false;
+    /// Era in which the store delivered the last one.
+    std::optional<std::int64_t> store_era;
     /// Timer of the removal; 0 while the entry is registered.
     TimerId removal_timer = 0;
   };
 
+  auto Replace(ListedEntry& listed, const EndpointEntry& entry) -> void {
+    timers_.Cancel(std::exchange(listed.removal_timer, 0));
+    // Most entries differ in nothing but their number.
+    auto same_number = entry;
+    same_number.sequence = listed.entry.sequence;
+    const auto changed = same_number != listed.entry;
+    listed.entry = entry;
+    if (changed) {
+      on_change_();
+    }
+  }
+
   TimerService& timers_;
   std::function<void()> on_change_;
   CallbackGuard guard_;
--- a/kingcuplock/gateway/gateway.cc
+++ b/kingcuplock/gateway/gateway.cc
@@ -6,6 +6,7 @@
 
 #include "kingcuplock/membership/peer_choice.h"
 #include "kingcuplock/schema/codec.h"
+#include "kingcuplock/schema/value_check.h"
 
 namespace kingcuplock {
 namespace {
@@ -102,14 +103,12 @@
 }
 
 auto Gateway::Start() -> void {
-  store_.Watch(
-      std::string(kRoutesKey), [this](const StoreItem& item, bool deleted) {
-        if (!deleted) {
-          routes_.ApplyIfNewer(
-              DecodeFrame(item.value, FrameFormat::kJson).get<RouteTable>(),
-              "store");
-        }
-      });
+  store_.Watch(std::string(kRoutesKey),
+               [this](const StoreItem& item, bool deleted) {
+                 if (!deleted) {
+                   OnRoutesItem(item);
+                 }
+               });
   store_.Watch(std::string(kEndpointPrefix),
                [this](const StoreItem& item, bool deleted) {
                  OnEndpointItem(item, deleted);
@@ -270,14 +269,34 @@
   });
 }
 
+auto Gateway::OnRoutesItem(const StoreItem& item) -> void {
+  try {
+    const auto table =
+        DecodeFrame(item.value, FrameFormat::kJson).get<RouteTable>();
+    CheckRouteTable(table);
+    routes_.ApplyIfNewer(table, "store");
+  } catch (const SchemaError& ex) {
+    shell_.Log(Event::kRoutesRejected,
+               {{"key", item.key}, {"reason", ex.what()}});
+  }
+}
+
 auto Gateway::OnEndpointItem(const StoreItem& item, bool deleted) -> void {
   const auto member = item.key.substr(kEndpointPrefix.size());
   if (deleted) {
     endpoints_.Remove(member);
     return;
   }
-  endpoints_.Set(
-      DecodeFrame(item.value, FrameFormat::kJson).get<EndpointEntry>());
+  try {
+    const auto entry =
+        DecodeFrame(item.value, FrameFormat::kJson).get<EndpointEntry>();
+    CheckEndpoint(entry);
+    endpoints_.Set(entry, store_.era_change_count());
+  } catch (const SchemaError& ex) {
+    shell_.Log(Event::kEndpointRejected,
+               {{"key", item.key}, {"reason", ex.what()}});
+    endpoints_.Remove(member);
+  }
 }
 
 auto Gateway::OnInstanceItem(const StoreItem& item, bool deleted) -> void {
--- a/kingcuplock/gateway/gateway.h
+++ b/kingcuplock/gateway/gateway.h
@@ -140,6 +140,7 @@
   // Configuration and membership.
   auto OnRoutesChanged() -> void;
   auto OnEndpointsChanged() -> void;
+  auto OnRoutesItem(const StoreItem& item) -> void;
   auto OnEndpointItem(const StoreItem& item, bool deleted) -> void;
   auto OnInstanceItem(const StoreItem& item, bool deleted) -> void;
   auto ApplyInstances() -> void;
--- a/kingcuplock/gateway/gateway_peers.cc
+++ b/kingcuplock/gateway/gateway_peers.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "kingcuplock/gateway/gateway.h"
+#include "kingcuplock/schema/value_check.h"
 
 namespace kingcuplock {
 namespace {
@@ -109,6 +110,16 @@
 // reliable, can't be reached, or while none are known.
 auto Gateway::ApplyOffer(const RoutesOffer& offer, std::string_view source)
     -> void {
+  try {
+    CheckRouteTable(offer.table);
+    for (const auto& it : offer.endpoints) {
+      CheckEndpoint(it);
+    }
+  } catch (const SchemaError& ex) {
+    shell_.Log(Event::kFrameRejected,
+               {{"peer", std::string(source)}, {"reason", ex.what()}});
+    return;
+  }
   routes_.ApplyIfNewer(offer.table, source);
   if (store_.IsReachable() && endpoints_.Size() > 0) {
     return;
--- a/kingcuplock/gateway/views_test.cc
+++ b/kingcuplock/gateway/views_test.cc
@@ -113,10 +113,10 @@
   EndpointEntry entry;
   entry.member = "m1";
   entry.group = "g";
-  directory.Set(entry);
+  directory.Set(entry, 0);
   directory.Remove("m1");
   timers.AdvanceTo(Time{} + Milliseconds(2000));
-  directory.Set(entry);
+  directory.Set(entry, 0);
   timers.AdvanceTo(Time{} + Milliseconds(9000));
   CHECK(directory.Size() == 1);
   CHECK(changes == 1);
@@ -138,29 +138,52 @@
   entry.born_ms = 500;
   entry.sequence = 7;
   entry.leaving = true;
-  directory.Set(entry);
+  directory.Set(entry, 0);
   auto older = entry;
   older.leaving = false;
   older.sequence = 6;
-  directory.Set(older);
+  directory.Set(older, 1);
   CHECK(directory.All().front().leaving);
   auto earlier_run = older;
   earlier_run.born_ms = 400;
   earlier_run.sequence = 90;
-  directory.Set(earlier_run);
+  directory.Set(earlier_run, 2);
   CHECK(directory.All().front().leaving);
   CHECK(changes == 1);
   auto restarted = older;
   restarted.born_ms = 600;
   restarted.sequence = 1;
-  directory.Set(restarted);
+  directory.Set(restarted, 3);
   CHECK_FALSE(directory.All().front().leaving);
   auto renewed = restarted;
   renewed.sequence = 2;
-  directory.Set(renewed);
+  directory.Set(renewed, 3);
   CHECK(changes == 2);
 }
 
+// Guards against a member that is never followed again: another writer put an
+// entry with a number too large under its key.
+TEST_CASE("A later entry of the same era replaces one with a higher number") {
+  TimerService timers;
+  EndpointDirectory directory(timers, [] {});
+  EndpointEntry odd;
+  odd.member = "m1";
+  odd.born_ms = std::int64_t{1} << 52U;
+  odd.sequence = std::int64_t{1} << 52U;
+  auto entry = odd;
+  entry.born_ms = 500;
+  entry.sequence = 7;
+  entry.leaving = true;
+  directory.Set(odd, 0);
+  directory.Set(entry, 0);
+  CHECK(directory.All().front().leaving);
+  // The same from a peer.
+  directory.SetFromPeer(odd);
+  CHECK_FALSE(directory.All().front().leaving);
+  directory.Set(entry, 0);
+  CHECK(directory.All().front().leaving);
+}
+
 // Guards against a member that left and stays listed for good: a peer still
 // knew it during an outage of the store, which has no entry to remove.
 TEST_CASE(
@@ -171,12 +194,12 @@
   entry.member = "m1";
   directory.SetFromPeer(entry);
   entry.member = "m2";
-  directory.Set(entry);
+  directory.Set(entry, 0);
   directory.SetFromPeer(entry);
   entry.member = "m3";
   directory.SetFromPeer(entry);
   CHECK(directory.Size() == 3);
-  directory.Set(entry);
+  directory.Set(entry, 0);
   directory.RemoveUnregistered();
   timers.AdvanceTo(Time{} + Milliseconds(3000));
   CHECK(directory.Size() == 2);
@@ -188,10 +211,10 @@
   EndpointEntry entry;
   entry.member = "m1";
   entry.sequence = 9;
-  directory.Set(entry);
+  directory.Set(entry, 0);
   entry.sequence = 1;
   entry.leaving = true;
-  directory.Set(entry);
+  directory.Set(entry, 0);
   CHECK(directory.All().front().leaving);
 }
 
--- a/kingcuplock/ownership/ownership_keeper.cc
+++ b/kingcuplock/ownership/ownership_keeper.cc
@@ -24,10 +24,12 @@
   }
 }
 
+// Returns 0 if `text` is no lease.
 auto ParseLease(std::string_view text) -> std::int64_t {
   std::int64_t lease = 0;
-  std::from_chars(text.data(), text.data() + text.size(), lease);
-  return lease;
+  const auto* end = text.data() + text.size();
+  const auto [at, ec] = std::from_chars(text.data(), end, lease);
+  return ec == std::errc() && at == end && lease > 0 ? lease : 0;
 }
 
 }  // namespace
@@ -131,9 +133,15 @@
   return record.epoch < FirstEpochOf(store_.era());
 }
 
-// Returns whether an owner that the restored store does not show may still rely
-// on its lease, which it renewed for the last time before the restore.
+// Returns whether an owner that the store does not show may still rely on its
+// lease: one that renewed it for the last time before a restore of the store,
+// or whose record another writer has replaced.
 auto OwnershipKeeper::MayHaveUnknownOwner(const Entry& entry) const -> bool {
+  if (!entry.record && entry.unreadable_since &&
+      timers_.Now() <
+          *entry.unreadable_since + Milliseconds(timing_.lease_ttl_ms)) {
+    return exclusion_ == OwnerExclusion::kLease;
+  }
   const auto never_restored =
       store_.era() == 0 && store_.era_change_count() == 0;
   const auto is_current = entry.record && !IsOfEarlierEra(*entry.record);
@@ -241,6 +249,13 @@
     const auto epoch = next.epoch;
     next = OwnerRecord{};
     next.epoch = epoch;
+    next.orders_unknown = entry.record || store_.era_change_count() > 0;
+  }
+  if (!entry.record && entry.unreadable_since) {
+    // Each epoch of this era took a write of its own, so the version is above
+    // the number of them.
+    next.epoch =
+        FirstEpochOf(store_.era()) + std::min(entry.version, kEpochsPerEra / 2);
     next.orders_unknown = true;
   }
   if (next.phase == Phase::kReleased) {
@@ -511,6 +526,11 @@
                                 std::int64_t version,
                                 std::optional<OwnerRecord> record) {
   entry.version = version;
+  if (version != 0 && !record) {
+    entry.unreadable_since = timers_.Now();
+    return;
+  }
+  entry.unreadable_since.reset();
   entry.record = std::move(record);
   if (entry.record && !IsOfEarlierEra(*entry.record)) {
     entry.record_before_restore.reset();
@@ -528,6 +548,7 @@
         entry.owned && lease_was_valid ? entry.record : std::nullopt;
     entry.version = 0;
     entry.record.reset();
+    entry.unreadable_since.reset();
     entry.deferred.reset();
     entry.vacant_since.reset();
     EndOwnership(name, entry);
@@ -546,6 +567,10 @@
   if (deleted) {
     // An unanswered write ends with a conflict.
     if (!entry.writing) {
+      if (entry.record) {
+        entry.least_epoch =
+            std::max(entry.least_epoch, entry.record->epoch + 1);
+      }
       SetRecord(entry, 0, std::nullopt);
       EndOwnership(database, entry);
       ReevaluateTakeover(database);
@@ -553,12 +578,16 @@
     return;
   }
   const auto record = ParseRecord(item.value);
-  if (!record) {
+  if (entry.writing) {
+    // An unanswered write ends with a conflict.
+    if (record) {
+      entry.deferred = item;
+      callbacks_.on_record_changed(database, *record);
+    }
     return;
   }
-  if (entry.writing) {
-    entry.deferred = item;
-    callbacks_.on_record_changed(database, *record);
+  if (!record) {
+    OnUnreadableRecord(database, entry, item.version);
     return;
   }
   SetRecord(entry, item.version, record);
@@ -571,9 +600,28 @@
   ReevaluateTakeover(database);
 }
 
+// Another writer has replaced the record. What was known of it stays valid, as
+// only the owner changes it, and the owner writes it again.
+void OwnershipKeeper::OnUnreadableRecord(const std::string& database,
+                                         Entry& entry,
+                                         std::int64_t version) {
+  outbox_.Log(Event::kOwnerRecordRejected,
+              {{"database", database}, {"version", std::to_string(version)}});
+  entry.version = version;
+  entry.unreadable_since = timers_.Now();
+  if (entry.owned) {
+    StartWrite(database, {[](OwnerRecord&) {}, [](bool) {}});
+    return;
+  }
+  ReevaluateTakeover(database);
+}
+
 void OwnershipKeeper::OnLeaseKeyChanged(const StoreItem& item, bool deleted) {
   const auto lease = ParseLease(std::string_view(item.key).substr(
       names_.key_prefix.size() + std::string("lease/").size()));
+  if (lease == 0) {
+    return;
+  }
   if (!deleted) {
     existing_leases_.insert(lease);
     return;
@@ -623,7 +671,12 @@
     const auto record =
         found ? ParseRecord(answer->items.front().value) : std::nullopt;
     const auto is_current = record && !IsOfEarlierEra(*record);
-    callback(is_current ? &*record : nullptr);
+    // Without a record there has been no owner, unless a restore took it.
+    static const OwnerRecord kNoOwnerYet;
+    const auto is_new = answer != nullptr && answer->items.empty() &&
+                        answer->status == StoreStatus::kAbsent &&
+                        store_.era_change_count() == 0;
+    callback(is_current ? &*record : is_new ? &kNoOwnerYet : nullptr);
   });
 }
 
--- a/kingcuplock/ownership/ownership_keeper.h
+++ b/kingcuplock/ownership/ownership_keeper.h
@@ -206,6 +206,9 @@
     /// Lowest epoch under which this instance may own the database.
     std::int64_t least_epoch = 0;
     std::optional<OwnerRecord> record;
+    /// Since when the store holds something else than a record; `record` is the
+    /// last one that could be read.
+    std::optional<Time> unreadable_since;
     /// Record under which this instance owned the database, with a valid lease,
     /// until it learned that the store was restored. It is newer than anything
     /// that the store holds of an earlier era.
@@ -232,6 +235,9 @@
 
   void OnNewEra();
   void OnRecordChanged(const StoreItem& item, bool deleted);
+  void OnUnreadableRecord(const std::string& database,
+                          Entry& entry,
+                          std::int64_t version);
   void OnLeaseKeyChanged(const StoreItem& item, bool deleted);
   void OnOwnLeaseChanged(std::int64_t lease);
   void CheckVacantDatabases();
--- a/kingcuplock/schema/json_field.h
+++ b/kingcuplock/schema/json_field.h
@@ -6,6 +6,7 @@
 ///   internal::ReadRequired(in, "name", value.name);
 
 #include <algorithm>
+#include <cstdint>
 #include <span>
 #include <stdexcept>
 #include <string>
@@ -39,6 +40,25 @@
 auto FrameType(const nlohmann::json& in, std::string_view type_name)
     -> std::string;
 
+/// Values that an integer member may have.
+struct IntegerRange {
+  std::int64_t min = 0;
+  std::int64_t max = 0;
+};
+
+/// Whole numbers that every JSON reader takes exactly.
+constexpr IntegerRange kWholeNumber{-(std::int64_t{1} << 53U),
+                                    std::int64_t{1} << 53U};
+/// Durations in ms that can be added to a time: 31 years.
+constexpr IntegerRange kMilliseconds{-1'000'000'000'000, 1'000'000'000'000};
+
+/// Reads the value `in` of the integer member `name` into `out`. Throws
+/// SchemaError if it is no integer or out of `range`.
+void ReadPresent(const nlohmann::json& in,
+                 std::string_view name,
+                 std::int64_t& out,
+                 IntegerRange range);
+
 /// Reads the value `in` of the member `name` into `out`. Throws SchemaError if
 /// it has the wrong type.
 template <typename T>
@@ -51,23 +71,30 @@
 }
 
 /// Reads the member `name` of `in` into `out`. Throws SchemaError if it is
-/// missing or has the wrong type.
-template <typename T>
-void ReadRequired(const nlohmann::json& in, std::string_view name, T& out) {
+/// missing, has the wrong type or is out of `range`.
+template <typename T, typename... Range>
+void ReadRequired(const nlohmann::json& in,
+                  std::string_view name,
+                  T& out,
+                  Range... range) {
   const auto it = in.find(name);
   if (it == in.end()) {
     throw SchemaError(name, "is missing; add it");
   }
-  ReadPresent(*it, name, out);
+  ReadPresent(*it, name, out, range...);
 }
 
 /// Reads the member `name` of `in` into `out`. Leaves `out` unchanged if the
-/// member is missing; throws SchemaError if it has the wrong type.
-template <typename T>
-void ReadOptional(const nlohmann::json& in, std::string_view name, T& out) {
+/// member is missing; throws SchemaError if it has the wrong type or is out of
+/// `range`.
+template <typename T, typename... Range>
+void ReadOptional(const nlohmann::json& in,
+                  std::string_view name,
+                  T& out,
+                  Range... range) {
   const auto it = in.find(name);
   if (it != in.end()) {
-    ReadPresent(*it, name, out);
+    ReadPresent(*it, name, out, range...);
   }
 }
 
--- a/kingcuplock/schema/manifest.cc
+++ b/kingcuplock/schema/manifest.cc
@@ -54,7 +54,8 @@
   internal::RequireObject(in, "MemberConfig");
   internal::ReadRequired(in, "name", value.name);
   internal::ReadRequired(in, "host", value.host);
-  internal::ReadRequired(in, "port", value.port);
+  internal::ReadRequired(in, "port", value.port,
+                         internal::IntegerRange{1, 65535});
   internal::ReadOptional(in, "data_centre", value.data_centre);
 }
 
@@ -78,11 +79,14 @@
   internal::RequireObject(in, "KindConfig");
   internal::ReadRequired(in, "name", value.name);
   internal::ReadRequired(in, "access", value.access);
-  internal::ReadOptional(in, "max_age_ms", value.max_age_ms);
+  internal::ReadOptional(in, "max_age_ms", value.max_age_ms,
+                         internal::IntegerRange{0, internal::kWholeNumber.max});
   internal::ReadOptional(in, "repeatable", value.repeatable);
-  internal::ReadOptional(in, "priority", value.priority);
+  internal::ReadOptional(in, "priority", value.priority,
+                         internal::IntegerRange{0, 9});
   internal::ReadOptional(in, "objective_percent", value.objective_percent);
-  internal::ReadOptional(in, "target_ms", value.target_ms);
+  internal::ReadOptional(in, "target_ms", value.target_ms,
+                         internal::IntegerRange{1, internal::kWholeNumber.max});
 }
 
 void to_json(nlohmann::json& out, const DatabaseConfig& value) {
@@ -106,12 +110,17 @@
   internal::RequireObject(in, "DatabaseConfig");
   internal::ReadRequired(in, "name", value.name);
   internal::ReadRequired(in, "members", value.members);
-  internal::ReadRequired(in, "slots", value.slots);
-  internal::ReadRequired(in, "connections", value.connections);
+  internal::ReadRequired(in, "slots", value.slots,
+                         internal::IntegerRange{1, internal::kWholeNumber.max});
+  internal::ReadRequired(in, "connections", value.connections,
+                         internal::IntegerRange{4, internal::kWholeNumber.max});
   internal::ReadOptional(in, "acknowledgement", value.acknowledgement);
-  internal::ReadOptional(in, "marker_retention_ms", value.marker_retention_ms);
+  internal::ReadOptional(
+      in, "marker_retention_ms", value.marker_retention_ms,
+      internal::IntegerRange{1000, internal::kWholeNumber.max});
   internal::ReadOptional(in, "loss_allowed_after_ms",
-                         value.loss_allowed_after_ms);
+                         value.loss_allowed_after_ms,
+                         internal::IntegerRange{0, internal::kWholeNumber.max});
   internal::ReadRequired(in, "kinds", value.kinds);
 }
 
@@ -124,7 +133,8 @@
 
 void from_json(const nlohmann::json& in, Manifest& value) {
   internal::RequireObject(in, "Manifest");
-  internal::ReadRequired(in, "version", value.version);
+  internal::ReadRequired(in, "version", value.version,
+                         internal::IntegerRange{1, internal::kWholeNumber.max});
   internal::ReadRequired(in, "deployment", value.deployment);
   internal::ReadRequired(in, "databases", value.databases);
 }
--- a/kingcuplock/schema/messages.cc
+++ b/kingcuplock/schema/messages.cc
@@ -155,8 +155,10 @@
   internal::ReadOptional(in, "step", value.step);
   internal::ReadOptional(in, "transaction", value.transaction);
   internal::ReadOptional(in, "statements", value.statements);
-  internal::ReadOptional(in, "patience_ms", value.patience_ms);
-  internal::ReadOptional(in, "issued_ms", value.issued_ms);
+  internal::ReadOptional(in, "patience_ms", value.patience_ms,
+                         internal::kMilliseconds);
+  internal::ReadOptional(in, "issued_ms", value.issued_ms,
+                         internal::kWholeNumber);
   internal::ReadOptional(in, "repeated", value.repeated);
   internal::ReadOptional(in, "token", value.token);
 }
@@ -191,13 +193,15 @@
   internal::ReadRequired(in, "status", value.status);
   internal::ReadOptional(in, "error", value.error);
   internal::ReadOptional(in, "message", value.message);
-  internal::ReadOptional(in, "retry_after_ms", value.retry_after_ms);
+  internal::ReadOptional(in, "retry_after_ms", value.retry_after_ms,
+                         internal::kMilliseconds);
   internal::ReadOptional(in, "receipt", value.receipt);
   internal::ReadOptional(in, "results", value.results);
   internal::ReadOptional(in, "token", value.token);
   internal::ReadOptional(in, "transaction", value.transaction);
-  internal::ReadOptional(in, "term", value.term);
-  internal::ReadOptional(in, "position", value.position);
+  internal::ReadOptional(in, "term", value.term, internal::kWholeNumber);
+  internal::ReadOptional(in, "position", value.position,
+                         internal::kWholeNumber);
   internal::ReadOptional(in, "served_by", value.served_by);
   internal::ReadOptional(in, "from_replica", value.from_replica);
   internal::ReadOptional(in, "leaving", value.leaving);
@@ -230,11 +234,11 @@
   internal::RequireObject(in, "DatabaseStatus");
   internal::ReadRequired(in, "database", value.database);
   internal::ReadOptional(in, "owner", value.owner);
-  internal::ReadOptional(in, "epoch", value.epoch);
-  internal::ReadOptional(in, "term", value.term);
+  internal::ReadOptional(in, "epoch", value.epoch, internal::kWholeNumber);
+  internal::ReadOptional(in, "term", value.term, internal::kWholeNumber);
   internal::ReadOptional(in, "primary", value.primary);
   internal::ReadOptional(in, "phase", value.phase);
-  internal::ReadOptional(in, "queued", value.queued);
+  internal::ReadOptional(in, "queued", value.queued, internal::kWholeNumber);
 }
 
 void to_json(nlohmann::json& out, const ServiceWindow& value) {
@@ -249,10 +253,12 @@
 
 void from_json(const nlohmann::json& in, ServiceWindow& value) {
   internal::RequireObject(in, "ServiceWindow");
-  internal::ReadRequired(in, "window_ms", value.window_ms);
-  internal::ReadOptional(in, "good", value.good);
-  internal::ReadOptional(in, "bad", value.bad);
-  internal::ReadOptional(in, "from_replica", value.from_replica);
+  internal::ReadRequired(in, "window_ms", value.window_ms,
+                         internal::kMilliseconds);
+  internal::ReadOptional(in, "good", value.good, internal::kWholeNumber);
+  internal::ReadOptional(in, "bad", value.bad, internal::kWholeNumber);
+  internal::ReadOptional(in, "from_replica", value.from_replica,
+                         internal::kWholeNumber);
 }
 
 void to_json(nlohmann::json& out, const RequestCounter& value) {
@@ -277,13 +283,16 @@
   internal::RequireObject(in, "RequestCounter");
   internal::ReadRequired(in, "database", value.database);
   internal::ReadRequired(in, "kind", value.kind);
-  internal::ReadOptional(in, "ok", value.ok);
-  internal::ReadOptional(in, "failed", value.failed);
-  internal::ReadOptional(in, "not_run", value.not_run);
-  internal::ReadOptional(in, "unknown", value.unknown);
-  internal::ReadOptional(in, "from_replica", value.from_replica);
-  internal::ReadOptional(in, "latency_p50_us", value.latency_p50_us);
-  internal::ReadOptional(in, "latency_p99_us", value.latency_p99_us);
+  internal::ReadOptional(in, "ok", value.ok, internal::kWholeNumber);
+  internal::ReadOptional(in, "failed", value.failed, internal::kWholeNumber);
+  internal::ReadOptional(in, "not_run", value.not_run, internal::kWholeNumber);
+  internal::ReadOptional(in, "unknown", value.unknown, internal::kWholeNumber);
+  internal::ReadOptional(in, "from_replica", value.from_replica,
+                         internal::kWholeNumber);
+  internal::ReadOptional(in, "latency_p50_us", value.latency_p50_us,
+                         internal::kWholeNumber);
+  internal::ReadOptional(in, "latency_p99_us", value.latency_p99_us,
+                         internal::kWholeNumber);
   internal::ReadOptional(in, "windows", value.windows);
 }
 
@@ -307,13 +316,17 @@
 void from_json(const nlohmann::json& in, FailoverGap& value) {
   internal::RequireObject(in, "FailoverGap");
   internal::ReadRequired(in, "database", value.database);
-  internal::ReadOptional(in, "term", value.term);
-  internal::ReadOptional(in, "suspect_us", value.suspect_us);
-  internal::ReadOptional(in, "record_us", value.record_us);
-  internal::ReadOptional(in, "hear_us", value.hear_us);
-  internal::ReadOptional(in, "promote_us", value.promote_us);
-  internal::ReadOptional(in, "open_us", value.open_us);
-  internal::ReadOptional(in, "ended_ms_ago", value.ended_ms_ago);
+  internal::ReadOptional(in, "term", value.term, internal::kWholeNumber);
+  internal::ReadOptional(in, "suspect_us", value.suspect_us,
+                         internal::kWholeNumber);
+  internal::ReadOptional(in, "record_us", value.record_us,
+                         internal::kWholeNumber);
+  internal::ReadOptional(in, "hear_us", value.hear_us, internal::kWholeNumber);
+  internal::ReadOptional(in, "promote_us", value.promote_us,
+                         internal::kWholeNumber);
+  internal::ReadOptional(in, "open_us", value.open_us, internal::kWholeNumber);
+  internal::ReadOptional(in, "ended_ms_ago", value.ended_ms_ago,
+                         internal::kWholeNumber);
 }
 
 void to_json(nlohmann::json& out, const InstanceStatus& value) {
@@ -342,14 +355,16 @@
   internal::RequireObject(in, "InstanceStatus");
   internal::ReadRequired(in, "id", value.id);
   internal::ReadRequired(in, "instance", value.instance);
-  internal::ReadOptional(in, "manifest_version", value.manifest_version);
+  internal::ReadOptional(in, "manifest_version", value.manifest_version,
+                         internal::kWholeNumber);
   internal::ReadOptional(in, "manifest_hash", value.manifest_hash);
   internal::ReadOptional(in, "leaving", value.leaving);
   internal::ReadOptional(in, "lease_valid", value.lease_valid);
   internal::ReadOptional(in, "databases", value.databases);
   internal::ReadOptional(in, "counters", value.counters);
   internal::ReadOptional(in, "failovers", value.failovers);
-  internal::ReadOptional(in, "uptime_ms", value.uptime_ms);
+  internal::ReadOptional(in, "uptime_ms", value.uptime_ms,
+                         internal::kMilliseconds);
 }
 
 void to_json(nlohmann::json& out, const Forward& value) {
@@ -363,9 +378,9 @@
 
 void from_json(const nlohmann::json& in, Forward& value) {
   internal::RequireObject(in, "Forward");
-  internal::ReadRequired(in, "id", value.id);
+  internal::ReadRequired(in, "id", value.id, internal::kWholeNumber);
   internal::ReadRequired(in, "request", value.request);
-  internal::ReadOptional(in, "caller", value.caller);
+  internal::ReadOptional(in, "caller", value.caller, internal::kWholeNumber);
 }
 
 void to_json(nlohmann::json& out, const ForwardAnswer& value) {
@@ -381,10 +396,10 @@
 
 void from_json(const nlohmann::json& in, ForwardAnswer& value) {
   internal::RequireObject(in, "ForwardAnswer");
-  internal::ReadRequired(in, "id", value.id);
+  internal::ReadRequired(in, "id", value.id, internal::kWholeNumber);
   internal::ReadRequired(in, "answer", value.answer);
   internal::ReadOptional(in, "owner_hint", value.owner_hint);
-  internal::ReadOptional(in, "epoch", value.epoch);
+  internal::ReadOptional(in, "epoch", value.epoch, internal::kWholeNumber);
 }
 
 namespace {
@@ -425,10 +440,14 @@
   internal::ReadRequired(in, "database", value.database);
   internal::ReadRequired(in, "group", value.group);
   internal::ReadOptional(in, "read_mode", value.read_mode);
-  internal::ReadOptional(in, "max_age_ms", value.max_age_ms);
-  internal::ReadOptional(in, "timeout_ms", value.timeout_ms);
-  internal::ReadOptional(in, "target_ms", value.target_ms);
-  internal::ReadOptional(in, "priority", value.priority);
+  internal::ReadOptional(in, "max_age_ms", value.max_age_ms,
+                         internal::kMilliseconds);
+  internal::ReadOptional(in, "timeout_ms", value.timeout_ms,
+                         internal::kMilliseconds);
+  internal::ReadOptional(in, "target_ms", value.target_ms,
+                         internal::kMilliseconds);
+  internal::ReadOptional(in, "priority", value.priority,
+                         internal::kWholeNumber);
 }
 
 void to_json(nlohmann::json& out, const GroupConfig& value) {
@@ -445,9 +464,10 @@
 void from_json(const nlohmann::json& in, GroupConfig& value) {
   internal::RequireObject(in, "GroupConfig");
   internal::ReadRequired(in, "name", value.name);
-  internal::ReadOptional(in, "connections", value.connections);
-  internal::ReadOptional(in, "synchronous_replicas",
-                         value.synchronous_replicas);
+  internal::ReadOptional(in, "connections", value.connections,
+                         internal::kWholeNumber);
+  internal::ReadOptional(in, "synchronous_replicas", value.synchronous_replicas,
+                         internal::kWholeNumber);
 }
 
 void to_json(nlohmann::json& out, const RouteTable& value) {
@@ -462,10 +482,11 @@
 
 void from_json(const nlohmann::json& in, RouteTable& value) {
   internal::RequireObject(in, "RouteTable");
-  internal::ReadRequired(in, "version", value.version);
+  internal::ReadRequired(in, "version", value.version, internal::kWholeNumber);
   internal::ReadOptional(in, "routes", value.routes);
   internal::ReadOptional(in, "groups", value.groups);
-  internal::ReadOptional(in, "transaction_idle_ms", value.transaction_idle_ms);
+  internal::ReadOptional(in, "transaction_idle_ms", value.transaction_idle_ms,
+                         internal::kMilliseconds);
 }
 
 void to_json(nlohmann::json& out, const EndpointEntry& value) {
@@ -489,13 +510,15 @@
   internal::ReadRequired(in, "member", value.member);
   internal::ReadRequired(in, "group", value.group);
   internal::ReadRequired(in, "host", value.host);
-  internal::ReadRequired(in, "port", value.port);
+  internal::ReadRequired(in, "port", value.port,
+                         internal::IntegerRange{0, 65535});
   internal::ReadOptional(in, "data_centre", value.data_centre);
-  internal::ReadOptional(in, "slots", value.slots);
+  internal::ReadOptional(in, "slots", value.slots, internal::kWholeNumber);
   internal::ReadOptional(in, "leaving", value.leaving);
   internal::ReadOptional(in, "leads", value.leads);
-  internal::ReadOptional(in, "born_ms", value.born_ms);
-  internal::ReadOptional(in, "sequence", value.sequence);
+  internal::ReadOptional(in, "born_ms", value.born_ms, internal::kWholeNumber);
+  internal::ReadOptional(in, "sequence", value.sequence,
+                         internal::kWholeNumber);
 }
 
 void to_json(nlohmann::json& out, const RoutesWanted& value) {
@@ -509,7 +532,7 @@
 void from_json(const nlohmann::json& in, RoutesWanted& value) {
   internal::RequireObject(in, "RoutesWanted");
   internal::ReadRequired(in, "instance", value.instance);
-  internal::ReadOptional(in, "version", value.version);
+  internal::ReadOptional(in, "version", value.version, internal::kWholeNumber);
 }
 
 void to_json(nlohmann::json& out, const RoutesOffer& value) {
@@ -559,10 +582,11 @@
   internal::RequireObject(in, "GroupReport");
   internal::ReadRequired(in, "group", value.group);
   internal::ReadRequired(in, "primary", value.primary);
-  internal::ReadOptional(in, "term", value.term);
+  internal::ReadOptional(in, "term", value.term, internal::kWholeNumber);
   internal::ReadOptional(in, "pending", value.pending);
   internal::ReadOptional(in, "reach", value.reach);
-  internal::ReadOptional(in, "heard_ms", value.heard_ms);
+  internal::ReadOptional(in, "heard_ms", value.heard_ms,
+                         internal::kMilliseconds);
 }
 
 void to_json(nlohmann::json& out, const GrantWanted& value) {
@@ -577,7 +601,7 @@
   internal::RequireObject(in, "GrantWanted");
   internal::ReadRequired(in, "instance", value.instance);
   internal::ReadRequired(in, "group", value.group);
-  internal::ReadRequired(in, "ask", value.ask);
+  internal::ReadRequired(in, "ask", value.ask, internal::kWholeNumber);
 }
 
 void to_json(nlohmann::json& out, const GrantGiven& value) {
@@ -601,14 +625,18 @@
 void from_json(const nlohmann::json& in, GrantGiven& value) {
   internal::RequireObject(in, "GrantGiven");
   internal::ReadRequired(in, "group", value.group);
-  internal::ReadRequired(in, "ask", value.ask);
+  internal::ReadRequired(in, "ask", value.ask, internal::kWholeNumber);
   internal::ReadOptional(in, "member", value.member);
-  internal::ReadOptional(in, "term", value.term);
-  internal::ReadOptional(in, "lasts_ms", value.lasts_ms);
+  internal::ReadOptional(in, "term", value.term, internal::kWholeNumber);
+  internal::ReadOptional(in, "lasts_ms", value.lasts_ms,
+                         internal::kMilliseconds);
   internal::ReadOptional(in, "shared", value.shared);
-  internal::ReadOptional(in, "floor_term", value.floor_term);
-  internal::ReadOptional(in, "floor_position", value.floor_position);
-  internal::ReadOptional(in, "floor_age_ms", value.floor_age_ms);
+  internal::ReadOptional(in, "floor_term", value.floor_term,
+                         internal::kWholeNumber);
+  internal::ReadOptional(in, "floor_position", value.floor_position,
+                         internal::kWholeNumber);
+  internal::ReadOptional(in, "floor_age_ms", value.floor_age_ms,
+                         internal::kMilliseconds);
 }
 
 void to_json(nlohmann::json& out, const StepDown& value) {
@@ -623,7 +651,7 @@
   internal::RequireObject(in, "StepDown");
   internal::ReadRequired(in, "instance", value.instance);
   internal::ReadRequired(in, "group", value.group);
-  internal::ReadRequired(in, "epoch", value.epoch);
+  internal::ReadRequired(in, "epoch", value.epoch, internal::kWholeNumber);
 }
 
 void to_json(nlohmann::json& out, const SteppedDown& value) {
@@ -640,8 +668,8 @@
   internal::RequireObject(in, "SteppedDown");
   internal::ReadRequired(in, "instance", value.instance);
   internal::ReadRequired(in, "group", value.group);
-  internal::ReadRequired(in, "epoch", value.epoch);
-  internal::ReadOptional(in, "term", value.term);
+  internal::ReadRequired(in, "epoch", value.epoch, internal::kWholeNumber);
+  internal::ReadOptional(in, "term", value.term, internal::kWholeNumber);
 }
 
 void to_json(nlohmann::json& out, const OwnershipHint& value) {
@@ -656,7 +684,7 @@
   internal::RequireObject(in, "OwnershipHint");
   internal::ReadRequired(in, "database", value.database);
   internal::ReadRequired(in, "owner", value.owner);
-  internal::ReadOptional(in, "epoch", value.epoch);
+  internal::ReadOptional(in, "epoch", value.epoch, internal::kWholeNumber);
 }
 
 void to_json(nlohmann::json& out, const Heartbeat& value) {
@@ -682,14 +710,18 @@
 void from_json(const nlohmann::json& in, Heartbeat& value) {
   internal::RequireObject(in, "Heartbeat");
   internal::ReadRequired(in, "instance", value.instance);
-  internal::ReadOptional(in, "manifest_version", value.manifest_version);
+  internal::ReadOptional(in, "manifest_version", value.manifest_version,
+                         internal::kWholeNumber);
   internal::ReadOptional(in, "manifest_hash", value.manifest_hash);
   internal::ReadOptional(in, "host", value.host);
-  internal::ReadOptional(in, "port", value.port);
+  internal::ReadOptional(in, "port", value.port,
+                         internal::IntegerRange{0, 65535});
   internal::ReadOptional(in, "leaving", value.leaving);
   internal::ReadOptional(in, "owned", value.owned);
-  internal::ReadOptional(in, "routes_version", value.routes_version);
-  internal::ReadOptional(in, "endpoints_known", value.endpoints_known);
+  internal::ReadOptional(in, "routes_version", value.routes_version,
+                         internal::kWholeNumber);
+  internal::ReadOptional(in, "endpoints_known", value.endpoints_known,
+                         internal::kWholeNumber);
   internal::ReadOptional(in, "groups", value.groups);
 }
 
@@ -713,7 +745,7 @@
 
 void from_json(const nlohmann::json& in, ManifestOffer& value) {
   internal::RequireObject(in, "ManifestOffer");
-  internal::ReadRequired(in, "version", value.version);
+  internal::ReadRequired(in, "version", value.version, internal::kWholeNumber);
   internal::ReadRequired(in, "text", value.text);
 }
 
@@ -728,7 +760,7 @@
 void from_json(const nlohmann::json& in, HandOver& value) {
   internal::RequireObject(in, "HandOver");
   internal::ReadRequired(in, "database", value.database);
-  internal::ReadOptional(in, "epoch", value.epoch);
+  internal::ReadOptional(in, "epoch", value.epoch, internal::kWholeNumber);
 }
 
 namespace {
@@ -811,18 +843,21 @@
 
 void from_json(const nlohmann::json& in, MemberRequest& value) {
   internal::RequireObject(in, "MemberRequest");
-  internal::ReadRequired(in, "id", value.id);
+  internal::ReadRequired(in, "id", value.id, internal::kWholeNumber);
   internal::ReadRequired(in, "op", value.op);
-  internal::ReadOptional(in, "epoch", value.epoch);
-  internal::ReadOptional(in, "term", value.term);
-  internal::ReadOptional(in, "position", value.position);
-  internal::ReadOptional(in, "entry_term", value.entry_term);
+  internal::ReadOptional(in, "epoch", value.epoch, internal::kWholeNumber);
+  internal::ReadOptional(in, "term", value.term, internal::kWholeNumber);
+  internal::ReadOptional(in, "position", value.position,
+                         internal::kWholeNumber);
+  internal::ReadOptional(in, "entry_term", value.entry_term,
+                         internal::kWholeNumber);
   internal::ReadOptional(in, "primary", value.primary);
   internal::ReadOptional(in, "request_id", value.request_id);
-  internal::ReadOptional(in, "issued_ms", value.issued_ms);
+  internal::ReadOptional(in, "issued_ms", value.issued_ms,
+                         internal::kWholeNumber);
   internal::ReadOptional(in, "content_hash", value.content_hash);
   internal::ReadOptional(in, "statements", value.statements);
-  internal::ReadOptional(in, "wait_ms", value.wait_ms);
+  internal::ReadOptional(in, "wait_ms", value.wait_ms, internal::kMilliseconds);
 }
 
 void to_json(nlohmann::json& out, const MemberAnswer& value) {
@@ -844,13 +879,15 @@
 
 void from_json(const nlohmann::json& in, MemberAnswer& value) {
   internal::RequireObject(in, "MemberAnswer");
-  internal::ReadRequired(in, "id", value.id);
+  internal::ReadRequired(in, "id", value.id, internal::kWholeNumber);
   internal::ReadRequired(in, "status", value.status);
-  internal::ReadOptional(in, "term", value.term);
-  internal::ReadOptional(in, "entry_term", value.entry_term);
-  internal::ReadOptional(in, "position", value.position);
+  internal::ReadOptional(in, "term", value.term, internal::kWholeNumber);
+  internal::ReadOptional(in, "entry_term", value.entry_term,
+                         internal::kWholeNumber);
+  internal::ReadOptional(in, "position", value.position,
+                         internal::kWholeNumber);
   internal::ReadOptional(in, "role", value.role);
-  internal::ReadOptional(in, "epoch", value.epoch);
+  internal::ReadOptional(in, "epoch", value.epoch, internal::kWholeNumber);
   internal::ReadOptional(in, "replayed", value.replayed);
   internal::ReadOptional(in, "results", value.results);
   internal::ReadOptional(in, "message", value.message);
@@ -903,7 +940,7 @@
   internal::RequireObject(in, "StoreItem");
   internal::ReadRequired(in, "key", value.key);
   internal::ReadOptional(in, "value", value.value);
-  internal::ReadOptional(in, "version", value.version);
+  internal::ReadOptional(in, "version", value.version, internal::kWholeNumber);
 }
 
 void to_json(nlohmann::json& out, const StoreCall& value) {
@@ -922,13 +959,14 @@
 
 void from_json(const nlohmann::json& in, StoreCall& value) {
   internal::RequireObject(in, "StoreCall");
-  internal::ReadRequired(in, "id", value.id);
+  internal::ReadRequired(in, "id", value.id, internal::kWholeNumber);
   internal::ReadRequired(in, "op", value.op);
   internal::ReadOptional(in, "key", value.key);
   internal::ReadOptional(in, "value", value.value);
-  internal::ReadOptional(in, "expected_version", value.expected_version);
-  internal::ReadOptional(in, "lease", value.lease);
-  internal::ReadOptional(in, "ttl_ms", value.ttl_ms);
+  internal::ReadOptional(in, "expected_version", value.expected_version,
+                         internal::kWholeNumber);
+  internal::ReadOptional(in, "lease", value.lease, internal::kWholeNumber);
+  internal::ReadOptional(in, "ttl_ms", value.ttl_ms, internal::kMilliseconds);
 }
 
 void to_json(nlohmann::json& out, const StoreAnswer& value) {
@@ -944,11 +982,11 @@
 
 void from_json(const nlohmann::json& in, StoreAnswer& value) {
   internal::RequireObject(in, "StoreAnswer");
-  internal::ReadRequired(in, "id", value.id);
+  internal::ReadRequired(in, "id", value.id, internal::kWholeNumber);
   internal::ReadRequired(in, "status", value.status);
-  internal::ReadOptional(in, "lease", value.lease);
+  internal::ReadOptional(in, "lease", value.lease, internal::kWholeNumber);
   internal::ReadOptional(in, "items", value.items);
-  internal::ReadOptional(in, "era", value.era);
+  internal::ReadOptional(in, "era", value.era, internal::kWholeNumber);
 }
 
 void to_json(nlohmann::json& out, const StoreEvent& value) {
@@ -964,7 +1002,7 @@
   internal::RequireObject(in, "StoreEvent");
   internal::ReadRequired(in, "item", value.item);
   internal::ReadOptional(in, "deleted", value.deleted);
-  internal::ReadOptional(in, "era", value.era);
+  internal::ReadOptional(in, "era", value.era, internal::kWholeNumber);
 }
 
 namespace {
@@ -992,8 +1030,9 @@
 
 void from_json(const nlohmann::json& in, TermStart& value) {
   internal::RequireObject(in, "TermStart");
-  internal::ReadRequired(in, "term", value.term);
-  internal::ReadRequired(in, "position", value.position);
+  internal::ReadRequired(in, "term", value.term, internal::kWholeNumber);
+  internal::ReadRequired(in, "position", value.position,
+                         internal::kWholeNumber);
 }
 
 void to_json(nlohmann::json& out, const OwnerRecord& value) {
@@ -1016,11 +1055,12 @@
 
 void from_json(const nlohmann::json& in, OwnerRecord& value) {
   internal::RequireObject(in, "OwnerRecord");
-  internal::ReadRequired(in, "epoch", value.epoch);
+  internal::ReadRequired(in, "epoch", value.epoch,
+                         internal::IntegerRange{0, 2199023255551});
   internal::ReadRequired(in, "owner", value.owner);
   internal::ReadOptional(in, "previous", value.previous);
-  internal::ReadOptional(in, "lease", value.lease);
-  internal::ReadOptional(in, "term", value.term);
+  internal::ReadOptional(in, "lease", value.lease, internal::kWholeNumber);
+  internal::ReadOptional(in, "term", value.term, internal::kWholeNumber);
   internal::ReadOptional(in, "primary", value.primary);
   internal::ReadOptional(in, "phase", value.phase);
   internal::ReadOptional(in, "ordered", value.ordered);
@@ -1044,7 +1084,8 @@
   internal::RequireObject(in, "InstanceEntry");
   internal::ReadRequired(in, "name", value.name);
   internal::ReadRequired(in, "host", value.host);
-  internal::ReadRequired(in, "port", value.port);
+  internal::ReadRequired(in, "port", value.port,
+                         internal::IntegerRange{0, 65535});
   internal::ReadOptional(in, "data_centre", value.data_centre);
   internal::ReadOptional(in, "leaving", value.leaving);
 }
@@ -1099,11 +1140,11 @@
 
 void from_json(const nlohmann::json& in, ControlCommand& value) {
   internal::RequireObject(in, "ControlCommand");
-  internal::ReadRequired(in, "id", value.id);
+  internal::ReadRequired(in, "id", value.id, internal::kWholeNumber);
   internal::ReadRequired(in, "action", value.action);
   internal::ReadOptional(in, "member", value.member);
-  internal::ReadOptional(in, "ms", value.ms);
-  internal::ReadOptional(in, "count", value.count);
+  internal::ReadOptional(in, "ms", value.ms, internal::kWholeNumber);
+  internal::ReadOptional(in, "count", value.count, internal::kWholeNumber);
   internal::ReadOptional(in, "key", value.key);
   internal::ReadOptional(in, "value", value.value);
 }
@@ -1119,7 +1160,7 @@
 
 void from_json(const nlohmann::json& in, ControlAnswer& value) {
   internal::RequireObject(in, "ControlAnswer");
-  internal::ReadRequired(in, "id", value.id);
+  internal::ReadRequired(in, "id", value.id, internal::kWholeNumber);
   internal::ReadOptional(in, "message", value.message);
   internal::ReadOptional(in, "items", value.items);
 }
--- a/kingcuplock/schema/settings.cc
+++ b/kingcuplock/schema/settings.cc
@@ -15,7 +15,8 @@
 void from_json(const nlohmann::json& in, Address& value) {
   internal::RequireObject(in, "Address");
   internal::ReadRequired(in, "host", value.host);
-  internal::ReadRequired(in, "port", value.port);
+  internal::ReadRequired(in, "port", value.port,
+                         internal::IntegerRange{1, 65535});
 }
 
 void to_json(nlohmann::json& out, const PeerAddress& value) {
@@ -29,7 +30,8 @@
   internal::RequireObject(in, "PeerAddress");
   internal::ReadRequired(in, "name", value.name);
   internal::ReadRequired(in, "host", value.host);
-  internal::ReadRequired(in, "port", value.port);
+  internal::ReadRequired(in, "port", value.port,
+                         internal::IntegerRange{1, 65535});
 }
 
 void to_json(nlohmann::json& out, const TimingSettings& value) {
@@ -57,16 +59,36 @@
 
 void from_json(const nlohmann::json& in, TimingSettings& value) {
   internal::RequireObject(in, "TimingSettings");
-  internal::ReadOptional(in, "lease_ttl_ms", value.lease_ttl_ms);
-  internal::ReadOptional(in, "lease_renew_ms", value.lease_renew_ms);
-  internal::ReadOptional(in, "lease_margin_ms", value.lease_margin_ms);
-  internal::ReadOptional(in, "heartbeat_ms", value.heartbeat_ms);
-  internal::ReadOptional(in, "peer_timeout_ms", value.peer_timeout_ms);
-  internal::ReadOptional(in, "probe_ms", value.probe_ms);
-  internal::ReadOptional(in, "probe_timeout_ms", value.probe_timeout_ms);
-  internal::ReadOptional(in, "takeover_step_ms", value.takeover_step_ms);
-  internal::ReadOptional(in, "store_timeout_ms", value.store_timeout_ms);
-  internal::ReadOptional(in, "drain_ms", value.drain_ms);
+  internal::ReadOptional(
+      in, "lease_ttl_ms", value.lease_ttl_ms,
+      internal::IntegerRange{500, internal::kWholeNumber.max});
+  internal::ReadOptional(
+      in, "lease_renew_ms", value.lease_renew_ms,
+      internal::IntegerRange{50, internal::kWholeNumber.max});
+  internal::ReadOptional(
+      in, "lease_margin_ms", value.lease_margin_ms,
+      internal::IntegerRange{10, internal::kWholeNumber.max});
+  internal::ReadOptional(
+      in, "heartbeat_ms", value.heartbeat_ms,
+      internal::IntegerRange{20, internal::kWholeNumber.max});
+  internal::ReadOptional(
+      in, "peer_timeout_ms", value.peer_timeout_ms,
+      internal::IntegerRange{50, internal::kWholeNumber.max});
+  internal::ReadOptional(
+      in, "probe_ms", value.probe_ms,
+      internal::IntegerRange{10, internal::kWholeNumber.max});
+  internal::ReadOptional(
+      in, "probe_timeout_ms", value.probe_timeout_ms,
+      internal::IntegerRange{20, internal::kWholeNumber.max});
+  internal::ReadOptional(
+      in, "takeover_step_ms", value.takeover_step_ms,
+      internal::IntegerRange{10, internal::kWholeNumber.max});
+  internal::ReadOptional(
+      in, "store_timeout_ms", value.store_timeout_ms,
+      internal::IntegerRange{50, internal::kWholeNumber.max});
+  internal::ReadOptional(
+      in, "drain_ms", value.drain_ms,
+      internal::IntegerRange{100, internal::kWholeNumber.max});
 }
 
 void to_json(nlohmann::json& out, const GatewaySettings& value) {
@@ -99,9 +121,13 @@
   internal::ReadRequired(in, "metrics_listen", value.metrics_listen);
   internal::ReadRequired(in, "store", value.store);
   internal::ReadRequired(in, "promotion", value.promotion);
-  internal::ReadOptional(in, "stop_ms", value.stop_ms);
+  internal::ReadOptional(
+      in, "stop_ms", value.stop_ms,
+      internal::IntegerRange{1000, internal::kWholeNumber.max});
   internal::ReadOptional(in, "promotions_fenced", value.promotions_fenced);
-  internal::ReadOptional(in, "leaving_ms", value.leaving_ms);
+  internal::ReadOptional(
+      in, "leaving_ms", value.leaving_ms,
+      internal::IntegerRange{100, internal::kWholeNumber.max});
   internal::ReadOptional(in, "timing", value.timing);
 }
 
--- a/kingcuplock/transport/web_socket_hub.cc
+++ b/kingcuplock/transport/web_socket_hub.cc
@@ -114,10 +114,13 @@
                const std::string& host,
                std::uint16_t port,
                int timeout_ms) {
+    // Anything but an address would be looked up by name.
+    asio::error_code bad_address;
+    asio::ip::make_address(host, bad_address);
     websocketpp::lib::error_code ec;
     auto it = client_.get_connection(
         "ws://" + host + ":" + std::to_string(port) + "/", ec);
-    if (ec) {
+    if (bad_address || ec) {
       asio::post(io_, [this, connection] { callbacks_.closed(connection); });
       return;
     }
--- a/testing/gateway_fixture.h
+++ b/testing/gateway_fixture.h
@@ -168,6 +168,10 @@
       -> void;
   /// Starts or ends the loss of demotions.
   auto LoseDemotions(bool lose) -> void { lose_demotions_ = lose; }
+  /// Writes an item to the store, as another writer does.
+  auto PutStoreItem(const std::string& key, const std::string& value) -> void {
+    store_.Put(key, value);
+  }
   /// Revokes a gateway's lease, which deletes its keys in the store, and
   /// handles no more of its calls until RestoreStoreAccess().
   auto RevokeStoreAccess(std::size_t gateway) -> void;
--- a/testing/gateway_fixture_actions.cc
+++ b/testing/gateway_fixture_actions.cc
@@ -2,6 +2,7 @@
 // store, their peers, the members and the platform.
 
 #include <algorithm>
+#include <charconv>
 #include <type_traits>
 #include <variant>
 
@@ -151,7 +152,9 @@
 
 auto GatewayFixture::OpenPeer(std::size_t node, const OpenConnection& open)
     -> void {
-  const auto remote = static_cast<std::size_t>(std::stoul(open.host));
+  std::size_t remote = nodes_.size();
+  std::from_chars(open.host.data(), open.host.data() + open.host.size(),
+                  remote);
   const auto up = remote < nodes_.size() && nodes_[remote]->up;
   if (!up) {
     RunAfter(options_.delay, node, [this, node, id = open.connection] {
--- a/tools/generate_types.py
+++ b/tools/generate_types.py
@@ -31,6 +31,18 @@
     return SCALARS[spec["type"]]
 
 
+def integer_range(field, spec):
+    """Returns the argument that limits an integer field, empty for other fields."""
+    if spec.get("type") != "integer":
+        return ""
+    if "minimum" in spec or "maximum" in spec:
+        low = spec.get("minimum", "internal::kWholeNumber.min")
+        high = spec.get("maximum", "internal::kWholeNumber.max")
+        return f", internal::IntegerRange{{{low}, {high}}}"
+    is_duration = field.endswith("_ms") and "Unix time" not in spec["description"]
+    return ", internal::kMilliseconds" if is_duration else ", internal::kWholeNumber"
+
+
 def default(spec):
     value = spec.get("default")
     if value is None:
@@ -89,7 +101,8 @@
     out += f'  internal::RequireObject(in, "{name}");\n'
     for field in spec["properties"]:
         call = "ReadRequired" if field in required else "ReadOptional"
-        out += f'  internal::{call}(in, "{field}", value.{field});\n'
+        limits = integer_range(field, spec["properties"][field])
+        out += f'  internal::{call}(in, "{field}", value.{field}{limits});\n'
     return out + "}\n\n"
 
 
