--- a/soak/soak.py
+++ b/soak/soak.py
@@ -5,6 +5,7 @@
 """
 import argparse
 import asyncio
+import base64
 import json
 import os
 import pathlib
@@ -141,6 +142,7 @@
         self.success_count = 0
         self.deadline = 0
         self.planned_only = options.planned_only
+        self.restarting_around_promotion = False
 
     async def start(self):
         self.member_proxies = {}
@@ -206,6 +208,10 @@
                      self.disturb_promotion_calls, self.lose_member_answers, self.slow_replication]
         if self.options.restores:
             unplanned += [self.restore_store] * 4
+        if self.options.promotion_restarts:
+            unplanned += [self.restart_around_promotion] * 6
+        if self.options.odd_items:
+            planned += [self.write_odd_items] * 2
         running = set()
         while time.monotonic() < self.deadline - 4:
             await asyncio.sleep(self.random.uniform(0.2, 1.4))
@@ -217,18 +223,18 @@
         """Returns a random running gateway, or any if none runs."""
         return self.random.choice([it for it in self.gateways if it.process.returncode is None] or self.gateways)
 
-    async def stop_gateway(self):
-        gateway = self.choose_gateway()
+    async def stop_gateway(self, gateway=None):
+        gateway = gateway or self.choose_gateway()
         if not gateway.stopping:
             await gateway.restart_with_signal(signal.SIGTERM)
 
-    async def kill_gateway(self):
-        gateway = self.choose_gateway()
+    async def kill_gateway(self, gateway=None):
+        gateway = gateway or self.choose_gateway()
         if not gateway.stopping:
             await gateway.restart_with_signal(signal.SIGKILL)
 
-    async def pause_gateway(self):
-        gateway = self.choose_gateway()
+    async def pause_gateway(self, gateway=None):
+        gateway = gateway or self.choose_gateway()
         gateway.send_signal(signal.SIGSTOP)
         await asyncio.sleep(self.random.uniform(0.2, 2.0))
         gateway.send_signal(signal.SIGCONT)
@@ -242,6 +248,64 @@
         await asyncio.sleep(self.random.uniform(0.3, 3))
         member.up = True
 
+    async def restart_around_promotion(self):
+        """Crashes the primary; while its promotion is prepared, ordered or late, restarts the holder and members."""
+        members = list(self.group.members.values())
+        if self.restarting_around_promotion or not all(it.up for it in members):
+            return
+        self.restarting_around_promotion = True
+        self.cloud_mode = self.random.choice(["late", "late", "up"])
+        primary = self.group.members.get(self.group.primary) or members[0]
+        primary.crash()
+        before = len(self.group.fence_holders)
+        until = time.monotonic() + 2.5
+        while (time.monotonic() < until and len(self.group.fence_holders) == before
+               and not (any(it.paused for it in members) and self.random.random() < 0.05)):
+            await asyncio.sleep(0.005)
+        holder = self.find_holder()
+        restart = asyncio.create_task(self.random.choice(
+            [self.kill_gateway, self.pause_gateway, self.stop_gateway])(holder)) if self.random.random() < 0.7 else None
+        await asyncio.sleep(self.random.uniform(0, 1.5))
+        primary.up = True
+        for it in members:
+            if it is not primary and self.random.random() < 0.5:
+                it.crash()
+                await asyncio.sleep(self.random.uniform(0.05, 0.5))
+                it.up = True
+        if restart:
+            await restart
+        await asyncio.sleep(self.random.uniform(0, 2))
+        self.cloud_mode = "up"
+        self.restarting_around_promotion = False
+
+    def find_holder(self):
+        """Returns the gateway that holds the promotion duty, any other one if that is not known."""
+        item = self.store.items.get(f"kingcuplock/owner/{SERVICE}")
+        try:
+            name = json.loads(base64.b64decode(item["value"]))["owner"] if item else ""
+        except (ValueError, KeyError, TypeError):
+            name = ""
+        return next((it for it in self.gateways if name == f"gw-{it.number}"), self.choose_gateway())
+
+    async def write_odd_items(self):
+        """Writes items that can't be used under the keys that the gateways read, as another writer might."""
+        deep = "[" * 150_000
+        texts = ["", "\x00\x01", "5", "[]", "{}", deep, '{"service":' + deep + "]" * 150_000 + "}"]
+        entry = {"service": SERVICE, "address": "127.0.0.1:9", "zone": "z0", "version": "v1", "slots": 4,
+                 "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": 1, "database_role": "replica"}
+        owner = {"epoch": 3, "owner": "gw-9", "lease": 7, "term": 2, "name": "gw-9", "host": "no address", "port": 7}
+        odd = [1e300, -1, 2**63, 2**80, 99999, "127.0.0.1:99999", "127.0.0.1:0", "a b\r\nBYE", "x" * 100_000, None, [],
+               {"a": [[[]]]}, 1.5, True]
+        for base in (entry, owner):
+            texts += [json.dumps({**base, field: self.random.choice(odd)}) for field in base]
+        for prefix in ("servers/", "kingcuplock/lease/", "kingcuplock/owner/"):
+            for text in self.random.sample(texts, 6):
+                self.store.put(prefix + self.random.choice(["odd", "7", "a b", "x" * 150]), text)
+        if self.random.random() < 0.3:
+            self.store.put(f"kingcuplock/owner/{SERVICE}", self.random.choice(texts))
+        if self.random.random() < 0.5:
+            self.store.put(f"servers/{self.random.choice(list(self.group.members))}", self.random.choice(texts))
+
     async def disturb_member_link(self):
         proxy = self.random.choice(list(self.member_proxies.values()))
         proxy.mode = self.random.choice(["slow", "silent", "to_server_cut", "to_client_cut"])
@@ -306,6 +370,11 @@
                 return
             await asyncio.sleep(0.2)
 
+    def check_processes(self):
+        """Checks that no gateway has ended by itself."""
+        self.violations += [f"gateway {it.number} ended by itself with exit code {it.process.returncode}"
+                            for it in self.gateways if it.process.returncode is not None]
+
     def check_promises(self):
         """Compares what members executed and committed with what clients were told. Returns all violations."""
         committed = {}
@@ -381,12 +450,14 @@
             if not (await asyncio.wait_for(reader.readuntil(b"\r\n"), 2)).startswith(b"READY"):
                 await asyncio.sleep(0.1)
                 return
-            for _ in range(self.random.randint(1, 60)):
+            is_busy = self.test_bed.options.busy and self.number % 2 == 0
+            for _ in range(10**6 if is_busy else self.random.randint(1, 60)):
                 if time.monotonic() > self.test_bed.deadline:
                     return
                 if not await self.run_operation(reader, writer, gateway):
                     return
-                await asyncio.sleep(self.random.uniform(0.002, 0.05))
+                if not is_busy:
+                    await asyncio.sleep(self.random.uniform(0.002, 0.05))
         finally:
             writer.close()
 
@@ -529,6 +600,7 @@
     clients = [Client(n, test_bed) for n in range(options.clients)]
     await asyncio.gather(test_bed.run_faults(), *(it.run() for it in clients))
     await test_bed.check_newest_version()
+    test_bed.check_processes()
     memory_mb = total_memory_mb(test_bed)
     for it in test_bed.gateways:
         it.send_signal(signal.SIGKILL)
@@ -564,6 +636,12 @@
                         help="inject planned stops and configuration changes only; no statement may be cut")
     parser.add_argument("--restores", action="store_true",
                         help="also restore the store from older copies, more often than any other fault")
+    parser.add_argument("--promotion-restarts", action="store_true",
+                        help="also restart the holder and members around promotions, more often than any other fault")
+    parser.add_argument("--odd-items", action="store_true",
+                        help="also write items that can't be used under the keys that gateways read")
+    parser.add_argument("--busy", action="store_true",
+                        help="every other client sends one operation after the other, without a pause, on one session")
     parser.add_argument("--unfenced", action="store_true",
                         help="gateways require no fencing tokens; a replaced primary still serves for a second")
     parser.add_argument("--most-memory-mb", type=int, default=2000)
