Promotion duty: a member is paused again if its order comes late

Cause: the time in which a pause of an open order may have been lost was counted from the order's longest delay alone, as if the order were sent with the pause. Now an order is sent within kMaxPauseAge of the pause, checked once more when it is handed to the socket, or the members are asked again; and a member counts as observed only after both times.

--- a/kingcuplock/gateway/promotion_duty.cc
+++ b/kingcuplock/gateway/promotion_duty.cc
@@ -362,7 +362,8 @@
   OrderPromotion order{order_id_, group_.config().name, member,
                        callbacks_.holder, fence};
   if (!options_.checks_fencing_tokens) {
-    order.not_after = callbacks_.lease_valid_until();
+    order.not_after =
+        std::min(callbacks_.lease_valid_until(), permit_.PauseExpires(member));
   }
   out_.Add(std::move(order));
 }
--- a/kingcuplock/gateway/promotion_grants.cc
+++ b/kingcuplock/gateway/promotion_grants.cc
@@ -397,9 +397,11 @@
     return;
   }
   if (!permit_.MayOrder(member, now, callbacks_.lease_valid_until())) {
-    AbandonAttempt(now < callbacks_.lease_valid_until()
-                       ? "an earlier order may still be carried out"
-                       : "the lease may have lapsed");
+    AbandonAttempt(now >= callbacks_.lease_valid_until()
+                       ? "the lease may have lapsed"
+                   : now >= permit_.PauseExpires(member)
+                       ? "the pause may have been lost"
+                       : "an earlier order may still be carried out");
     return;
   }
   SendOrder(member);
--- a/kingcuplock/grants/primary_evidence.h
+++ b/kingcuplock/grants/primary_evidence.h
@@ -6,8 +6,8 @@
 /// kGrantDuration. This is safe because a member is paused before its
 /// promotion, and the promotion waits until the member's earlier reports have
 /// expired. A member loses its pause by a restart, so one that this instance
-/// has not observed for kMaxOrderDelay proves nothing by its report; then the
-/// record of the last order has to show that none is open.
+/// has not observed for kMaxPauseAge and kMaxOrderDelay proves nothing by its
+/// report; then the record of the last order has to show that none is open.
 ///
 /// Example:
 ///   PrimaryEvidence<> evidence("m-1", 3, {"m-2", "m-3"}, asked, known_since);
@@ -112,7 +112,8 @@
   // Returns whether `since` is early enough that no order from before it can be
   // open.
   auto IsObserved(Time since) const -> bool {
-    return !Rules::kRequireObservedMembers || asked_ - since >= kMaxOrderDelay;
+    return !Rules::kRequireObservedMembers ||
+           asked_ - since >= kMaxPauseAge + kMaxOrderDelay;
   }
 
   PrimaryGrant grant_;
--- a/kingcuplock/grants/primary_grant.h
+++ b/kingcuplock/grants/primary_grant.h
@@ -31,6 +31,10 @@
 /// Longest time in ms after which an order without an answer may still be
 /// carried out; the platform documents several seconds.
 constexpr Milliseconds kMaxOrderDelay{6000};
+/// Longest time in ms from the pause of a member until it may be ordered to
+/// become primary; afterwards it is asked again, as it may have lost its pause
+/// by a restart. Longer than the waits between the two.
+constexpr Milliseconds kMaxPauseAge{500};
 /// Time in ms that a statement may take to reach a member: a round trip between
 /// data centres. It is subtracted from the validity of a grant before a write
 /// is sent.
--- a/kingcuplock/grants/promotion_permit.h
+++ b/kingcuplock/grants/promotion_permit.h
@@ -117,11 +117,19 @@
                : exclusive_from_;
   }
 
+  /// Returns the time from which `member` may no longer be ordered to become
+  /// primary without another pause.
+  auto PauseExpires(const std::string& member) const -> Time {
+    const auto paused = paused_since_.find(member);
+    return paused == paused_since_.end() ? Time{}
+                                         : paused->second + kMaxPauseAge;
+  }
+
   /// Returns whether an order to promote `member` may be sent at `now`.
   auto MayOrder(const std::string& member,
                 Time now,
                 Time lease_valid_until) const -> bool {
-    return now >= EarliestOrderTime(member) &&
+    return now >= EarliestOrderTime(member) && now < PauseExpires(member) &&
            HasNoOtherUnresolvedOrder(member, now) &&
            (!Rules::kRequireValidLease || now < lease_valid_until);
   }
