--- a/kingcuplock/schema/json_field.h
+++ b/kingcuplock/schema/json_field.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <span>
 #include <stdexcept>
 #include <string>
@@ -46,6 +47,9 @@
   std::int64_t max = 0;
 };
 
+/// All values of the type.
+constexpr IntegerRange kAnyInteger{std::numeric_limits<std::int64_t>::min(),
+                                   std::numeric_limits<std::int64_t>::max()};
 /// Whole numbers that every JSON reader takes exactly.
 constexpr IntegerRange kWholeNumber{-(std::int64_t{1} << 53U),
                                     std::int64_t{1} << 53U};
--- a/kingcuplock/schema/messages.cc
+++ b/kingcuplock/schema/messages.cc
@@ -158,7 +158,7 @@
   internal::ReadOptional(in, "patience_ms", value.patience_ms,
                          internal::kMilliseconds);
   internal::ReadOptional(in, "issued_ms", value.issued_ms,
-                         internal::kWholeNumber);
+                         internal::kAnyInteger);
   internal::ReadOptional(in, "repeated", value.repeated);
   internal::ReadOptional(in, "token", value.token);
 }
@@ -234,11 +234,11 @@
   internal::RequireObject(in, "DatabaseStatus");
   internal::ReadRequired(in, "database", value.database);
   internal::ReadOptional(in, "owner", value.owner);
-  internal::ReadOptional(in, "epoch", value.epoch, internal::kWholeNumber);
+  internal::ReadOptional(in, "epoch", value.epoch, internal::kAnyInteger);
   internal::ReadOptional(in, "term", value.term, internal::kWholeNumber);
   internal::ReadOptional(in, "primary", value.primary);
   internal::ReadOptional(in, "phase", value.phase);
-  internal::ReadOptional(in, "queued", value.queued, internal::kWholeNumber);
+  internal::ReadOptional(in, "queued", value.queued, internal::kAnyInteger);
 }
 
 void to_json(nlohmann::json& out, const ServiceWindow& value) {
@@ -255,10 +255,10 @@
   internal::RequireObject(in, "ServiceWindow");
   internal::ReadRequired(in, "window_ms", value.window_ms,
                          internal::kMilliseconds);
-  internal::ReadOptional(in, "good", value.good, internal::kWholeNumber);
-  internal::ReadOptional(in, "bad", value.bad, internal::kWholeNumber);
+  internal::ReadOptional(in, "good", value.good, internal::kAnyInteger);
+  internal::ReadOptional(in, "bad", value.bad, internal::kAnyInteger);
   internal::ReadOptional(in, "from_replica", value.from_replica,
-                         internal::kWholeNumber);
+                         internal::kAnyInteger);
 }
 
 void to_json(nlohmann::json& out, const RequestCounter& value) {
@@ -283,16 +283,16 @@
   internal::RequireObject(in, "RequestCounter");
   internal::ReadRequired(in, "database", value.database);
   internal::ReadRequired(in, "kind", value.kind);
-  internal::ReadOptional(in, "ok", value.ok, internal::kWholeNumber);
-  internal::ReadOptional(in, "failed", value.failed, internal::kWholeNumber);
-  internal::ReadOptional(in, "not_run", value.not_run, internal::kWholeNumber);
-  internal::ReadOptional(in, "unknown", value.unknown, internal::kWholeNumber);
+  internal::ReadOptional(in, "ok", value.ok, internal::kAnyInteger);
+  internal::ReadOptional(in, "failed", value.failed, internal::kAnyInteger);
+  internal::ReadOptional(in, "not_run", value.not_run, internal::kAnyInteger);
+  internal::ReadOptional(in, "unknown", value.unknown, internal::kAnyInteger);
   internal::ReadOptional(in, "from_replica", value.from_replica,
-                         internal::kWholeNumber);
+                         internal::kAnyInteger);
   internal::ReadOptional(in, "latency_p50_us", value.latency_p50_us,
-                         internal::kWholeNumber);
+                         internal::kAnyInteger);
   internal::ReadOptional(in, "latency_p99_us", value.latency_p99_us,
-                         internal::kWholeNumber);
+                         internal::kAnyInteger);
   internal::ReadOptional(in, "windows", value.windows);
 }
 
@@ -318,15 +318,15 @@
   internal::ReadRequired(in, "database", value.database);
   internal::ReadOptional(in, "term", value.term, internal::kWholeNumber);
   internal::ReadOptional(in, "suspect_us", value.suspect_us,
-                         internal::kWholeNumber);
+                         internal::kAnyInteger);
   internal::ReadOptional(in, "record_us", value.record_us,
-                         internal::kWholeNumber);
-  internal::ReadOptional(in, "hear_us", value.hear_us, internal::kWholeNumber);
+                         internal::kAnyInteger);
+  internal::ReadOptional(in, "hear_us", value.hear_us, internal::kAnyInteger);
   internal::ReadOptional(in, "promote_us", value.promote_us,
-                         internal::kWholeNumber);
-  internal::ReadOptional(in, "open_us", value.open_us, internal::kWholeNumber);
+                         internal::kAnyInteger);
+  internal::ReadOptional(in, "open_us", value.open_us, internal::kAnyInteger);
   internal::ReadOptional(in, "ended_ms_ago", value.ended_ms_ago,
-                         internal::kWholeNumber);
+                         internal::kAnyInteger);
 }
 
 void to_json(nlohmann::json& out, const InstanceStatus& value) {
@@ -378,9 +378,9 @@
 
 void from_json(const nlohmann::json& in, Forward& value) {
   internal::RequireObject(in, "Forward");
-  internal::ReadRequired(in, "id", value.id, internal::kWholeNumber);
+  internal::ReadRequired(in, "id", value.id, internal::kAnyInteger);
   internal::ReadRequired(in, "request", value.request);
-  internal::ReadOptional(in, "caller", value.caller, internal::kWholeNumber);
+  internal::ReadOptional(in, "caller", value.caller, internal::kAnyInteger);
 }
 
 void to_json(nlohmann::json& out, const ForwardAnswer& value) {
@@ -396,10 +396,10 @@
 
 void from_json(const nlohmann::json& in, ForwardAnswer& value) {
   internal::RequireObject(in, "ForwardAnswer");
-  internal::ReadRequired(in, "id", value.id, internal::kWholeNumber);
+  internal::ReadRequired(in, "id", value.id, internal::kAnyInteger);
   internal::ReadRequired(in, "answer", value.answer);
   internal::ReadOptional(in, "owner_hint", value.owner_hint);
-  internal::ReadOptional(in, "epoch", value.epoch, internal::kWholeNumber);
+  internal::ReadOptional(in, "epoch", value.epoch, internal::kAnyInteger);
 }
 
 namespace {
@@ -601,7 +601,7 @@
   internal::RequireObject(in, "GrantWanted");
   internal::ReadRequired(in, "instance", value.instance);
   internal::ReadRequired(in, "group", value.group);
-  internal::ReadRequired(in, "ask", value.ask, internal::kWholeNumber);
+  internal::ReadRequired(in, "ask", value.ask, internal::kAnyInteger);
 }
 
 void to_json(nlohmann::json& out, const GrantGiven& value) {
@@ -625,7 +625,7 @@
 void from_json(const nlohmann::json& in, GrantGiven& value) {
   internal::RequireObject(in, "GrantGiven");
   internal::ReadRequired(in, "group", value.group);
-  internal::ReadRequired(in, "ask", value.ask, internal::kWholeNumber);
+  internal::ReadRequired(in, "ask", value.ask, internal::kAnyInteger);
   internal::ReadOptional(in, "member", value.member);
   internal::ReadOptional(in, "term", value.term, internal::kWholeNumber);
   internal::ReadOptional(in, "lasts_ms", value.lasts_ms,
@@ -651,7 +651,7 @@
   internal::RequireObject(in, "StepDown");
   internal::ReadRequired(in, "instance", value.instance);
   internal::ReadRequired(in, "group", value.group);
-  internal::ReadRequired(in, "epoch", value.epoch, internal::kWholeNumber);
+  internal::ReadRequired(in, "epoch", value.epoch, internal::kAnyInteger);
 }
 
 void to_json(nlohmann::json& out, const SteppedDown& value) {
@@ -668,7 +668,7 @@
   internal::RequireObject(in, "SteppedDown");
   internal::ReadRequired(in, "instance", value.instance);
   internal::ReadRequired(in, "group", value.group);
-  internal::ReadRequired(in, "epoch", value.epoch, internal::kWholeNumber);
+  internal::ReadRequired(in, "epoch", value.epoch, internal::kAnyInteger);
   internal::ReadOptional(in, "term", value.term, internal::kWholeNumber);
 }
 
@@ -684,7 +684,7 @@
   internal::RequireObject(in, "OwnershipHint");
   internal::ReadRequired(in, "database", value.database);
   internal::ReadRequired(in, "owner", value.owner);
-  internal::ReadOptional(in, "epoch", value.epoch, internal::kWholeNumber);
+  internal::ReadOptional(in, "epoch", value.epoch, internal::kAnyInteger);
 }
 
 void to_json(nlohmann::json& out, const Heartbeat& value) {
@@ -760,7 +760,7 @@
 void from_json(const nlohmann::json& in, HandOver& value) {
   internal::RequireObject(in, "HandOver");
   internal::ReadRequired(in, "database", value.database);
-  internal::ReadOptional(in, "epoch", value.epoch, internal::kWholeNumber);
+  internal::ReadOptional(in, "epoch", value.epoch, internal::kAnyInteger);
 }
 
 namespace {
@@ -843,9 +843,9 @@
 
 void from_json(const nlohmann::json& in, MemberRequest& value) {
   internal::RequireObject(in, "MemberRequest");
-  internal::ReadRequired(in, "id", value.id, internal::kWholeNumber);
+  internal::ReadRequired(in, "id", value.id, internal::kAnyInteger);
   internal::ReadRequired(in, "op", value.op);
-  internal::ReadOptional(in, "epoch", value.epoch, internal::kWholeNumber);
+  internal::ReadOptional(in, "epoch", value.epoch, internal::kAnyInteger);
   internal::ReadOptional(in, "term", value.term, internal::kWholeNumber);
   internal::ReadOptional(in, "position", value.position,
                          internal::kWholeNumber);
@@ -854,7 +854,7 @@
   internal::ReadOptional(in, "primary", value.primary);
   internal::ReadOptional(in, "request_id", value.request_id);
   internal::ReadOptional(in, "issued_ms", value.issued_ms,
-                         internal::kWholeNumber);
+                         internal::kAnyInteger);
   internal::ReadOptional(in, "content_hash", value.content_hash);
   internal::ReadOptional(in, "statements", value.statements);
   internal::ReadOptional(in, "wait_ms", value.wait_ms, internal::kMilliseconds);
@@ -879,7 +879,7 @@
 
 void from_json(const nlohmann::json& in, MemberAnswer& value) {
   internal::RequireObject(in, "MemberAnswer");
-  internal::ReadRequired(in, "id", value.id, internal::kWholeNumber);
+  internal::ReadRequired(in, "id", value.id, internal::kAnyInteger);
   internal::ReadRequired(in, "status", value.status);
   internal::ReadOptional(in, "term", value.term, internal::kWholeNumber);
   internal::ReadOptional(in, "entry_term", value.entry_term,
@@ -887,7 +887,7 @@
   internal::ReadOptional(in, "position", value.position,
                          internal::kWholeNumber);
   internal::ReadOptional(in, "role", value.role);
-  internal::ReadOptional(in, "epoch", value.epoch, internal::kWholeNumber);
+  internal::ReadOptional(in, "epoch", value.epoch, internal::kAnyInteger);
   internal::ReadOptional(in, "replayed", value.replayed);
   internal::ReadOptional(in, "results", value.results);
   internal::ReadOptional(in, "message", value.message);
@@ -959,13 +959,13 @@
 
 void from_json(const nlohmann::json& in, StoreCall& value) {
   internal::RequireObject(in, "StoreCall");
-  internal::ReadRequired(in, "id", value.id, internal::kWholeNumber);
+  internal::ReadRequired(in, "id", value.id, internal::kAnyInteger);
   internal::ReadRequired(in, "op", value.op);
   internal::ReadOptional(in, "key", value.key);
   internal::ReadOptional(in, "value", value.value);
   internal::ReadOptional(in, "expected_version", value.expected_version,
-                         internal::kWholeNumber);
-  internal::ReadOptional(in, "lease", value.lease, internal::kWholeNumber);
+                         internal::kAnyInteger);
+  internal::ReadOptional(in, "lease", value.lease, internal::kAnyInteger);
   internal::ReadOptional(in, "ttl_ms", value.ttl_ms, internal::kMilliseconds);
 }
 
@@ -982,11 +982,11 @@
 
 void from_json(const nlohmann::json& in, StoreAnswer& value) {
   internal::RequireObject(in, "StoreAnswer");
-  internal::ReadRequired(in, "id", value.id, internal::kWholeNumber);
+  internal::ReadRequired(in, "id", value.id, internal::kAnyInteger);
   internal::ReadRequired(in, "status", value.status);
-  internal::ReadOptional(in, "lease", value.lease, internal::kWholeNumber);
+  internal::ReadOptional(in, "lease", value.lease, internal::kAnyInteger);
   internal::ReadOptional(in, "items", value.items);
-  internal::ReadOptional(in, "era", value.era, internal::kWholeNumber);
+  internal::ReadOptional(in, "era", value.era, internal::kAnyInteger);
 }
 
 void to_json(nlohmann::json& out, const StoreEvent& value) {
@@ -1002,7 +1002,7 @@
   internal::RequireObject(in, "StoreEvent");
   internal::ReadRequired(in, "item", value.item);
   internal::ReadOptional(in, "deleted", value.deleted);
-  internal::ReadOptional(in, "era", value.era, internal::kWholeNumber);
+  internal::ReadOptional(in, "era", value.era, internal::kAnyInteger);
 }
 
 namespace {
@@ -1059,7 +1059,7 @@
                          internal::IntegerRange{0, 2199023255551});
   internal::ReadRequired(in, "owner", value.owner);
   internal::ReadOptional(in, "previous", value.previous);
-  internal::ReadOptional(in, "lease", value.lease, internal::kWholeNumber);
+  internal::ReadOptional(in, "lease", value.lease, internal::kAnyInteger);
   internal::ReadOptional(in, "term", value.term, internal::kWholeNumber);
   internal::ReadOptional(in, "primary", value.primary);
   internal::ReadOptional(in, "phase", value.phase);
@@ -1140,11 +1140,11 @@
 
 void from_json(const nlohmann::json& in, ControlCommand& value) {
   internal::RequireObject(in, "ControlCommand");
-  internal::ReadRequired(in, "id", value.id, internal::kWholeNumber);
+  internal::ReadRequired(in, "id", value.id, internal::kAnyInteger);
   internal::ReadRequired(in, "action", value.action);
   internal::ReadOptional(in, "member", value.member);
-  internal::ReadOptional(in, "ms", value.ms, internal::kWholeNumber);
-  internal::ReadOptional(in, "count", value.count, internal::kWholeNumber);
+  internal::ReadOptional(in, "ms", value.ms, internal::kAnyInteger);
+  internal::ReadOptional(in, "count", value.count, internal::kAnyInteger);
   internal::ReadOptional(in, "key", value.key);
   internal::ReadOptional(in, "value", value.value);
 }
@@ -1160,7 +1160,7 @@
 
 void from_json(const nlohmann::json& in, ControlAnswer& value) {
   internal::RequireObject(in, "ControlAnswer");
-  internal::ReadRequired(in, "id", value.id, internal::kWholeNumber);
+  internal::ReadRequired(in, "id", value.id, internal::kAnyInteger);
   internal::ReadOptional(in, "message", value.message);
   internal::ReadOptional(in, "items", value.items);
 }
--- a/tools/generate_types.py
+++ b/tools/generate_types.py
@@ -12,6 +12,9 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 # Schemas whose text is compiled in, to check operators' files against.
 EMBEDDED = ("manifest", "settings")
+# Fields whose values are compared and raised by one, so that a value near the end of the type can do harm.
+COUNTED = {"term", "position", "floor_term", "floor_position", "entry_term", "version", "sequence", "routes_version",
+           "manifest_version", "endpoints_known", "slots", "connections", "priority", "synchronous_replicas", "born_ms"}
 SCALARS = {"string": "std::string", "integer": "std::int64_t", "boolean": "bool", "number": "double"}
 
 
@@ -39,8 +42,10 @@
         low = spec.get("minimum", "internal::kWholeNumber.min")
         high = spec.get("maximum", "internal::kWholeNumber.max")
         return f", internal::IntegerRange{{{low}, {high}}}"
-    is_duration = field.endswith("_ms") and "Unix time" not in spec["description"]
-    return ", internal::kMilliseconds" if is_duration else ", internal::kWholeNumber"
+    if field.endswith("_ms") and "Unix time" not in spec["description"]:
+        return ", internal::kMilliseconds"
+    # Ids of connections and requests use all bits.
+    return ", internal::kWholeNumber" if field in COUNTED else ", internal::kAnyInteger"
 
 
 def default(spec):
