Promotion duty: a rejected order says nothing about an earlier one

A duty that had inherited an order, or lost one's answer, forgot it when a later order was rejected. The state before the rejected order is restored instead.

--- a/kingcuplock/gateway/promotion_duty.cc
+++ b/kingcuplock/gateway/promotion_duty.cc
@@ -351,7 +351,7 @@
     AbandonAttempt("all fencing tokens of the epoch are used");
     return;
   }
-  order_sent_ = true;
+  earlier_order_sent_ = std::exchange(order_sent_, true);
   order_id_ = callbacks_.next_order_id();
   const auto fence = epoch_ * kOrdersPerEpoch + tokens_used_;
   log_.Log(Event::kPromotionOrdered, {{"group", group_.config().name},
@@ -402,8 +402,8 @@
   }
   const auto not_done = outcome == PromotionOutcome::kRejected ||
                         outcome == PromotionOutcome::kUnavailable;
-  if (not_done && !permit_.HasUnresolvedOrder(timers_.Now())) {
-    order_sent_ = false;
+  if (not_done) {
+    order_sent_ = earlier_order_sent_;
   }
   if (outcome == PromotionOutcome::kLost && !options_.checks_fencing_tokens) {
     permit_.NoteUnresolvedOrder(ordered_member_, timers_.Now());
--- a/kingcuplock/gateway/promotion_duty.h
+++ b/kingcuplock/gateway/promotion_duty.h
@@ -227,6 +227,8 @@
   /// Whether an order may have been sent since the record last held that none
   /// is open.
   bool order_sent_ = false;
+  /// The same, before the order that is in flight.
+  bool earlier_order_sent_ = false;
   /// Number of unanswered writes of the recorded order.
   int unanswered_records_ = 0;
   Time next_step_down_{};
