--- a/kingcuplock/ownership/ownership_keeper.h
+++ b/kingcuplock/ownership/ownership_keeper.h
@@ -233,6 +233,10 @@
     WriteCallback callback;
   };
 
+  /// Returns nullopt for a text that is no record.
+  static auto ParseRecord(const std::string& text)
+      -> std::optional<OwnerRecord>;
+
   void OnNewEra();
   void OnRecordChanged(const StoreItem& item, bool deleted);
   void OnUnreadableRecord(const std::string& database,
