--- a/kingcuplock/gateway/gateway_malformed_items_test.cc
+++ b/kingcuplock/gateway/gateway_malformed_items_test.cc
@@ -1,7 +1,7 @@
 // Items in the store that another writer has written, and messages of peers
 // with values that can't be used.
 
-#include <limits>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -16,7 +16,7 @@
 constexpr Milliseconds kStart{1500};
 
 /// Texts that are no item of any kind, or have a field that can't be used.
-auto OddTexts() -> std::vector<std::string> {
+auto MalformedTexts() -> std::vector<std::string> {
   constexpr std::size_t kDepth = 100'000;
   return {
       "",
@@ -51,9 +51,9 @@
   return served;
 }
 
-// Guards against an odd entry that ends the process or keeps it from following
-// the others, under every prefix that the gateway watches.
-TEST_CASE("Odd items under any watched key do no harm") {
+// Guards against a malformed entry that ends the process or keeps it from
+// following the others, under every prefix that the gateway watches.
+TEST_CASE("Malformed items under any watched key do no harm") {
   for (const auto fenced : {true, false}) {
     CAPTURE(fenced);
     GatewayFixture world({.gateways = 3,
@@ -62,18 +62,18 @@
     world.RunFor(kStart);
     REQUIRE(ServesWrites(world, "before"));
     auto number = 0;
-    for (const auto& text : OddTexts()) {
+    for (const auto& text : MalformedTexts()) {
       const auto name = std::to_string(++number);
       for (const auto* prefix :
            {"endpoint/", "kingcuplock/owner/", "kingcuplock/lease/"}) {
         world.PutStoreItem(prefix + name, text);
-        world.PutStoreItem(prefix + std::string("odd name ") + name, text);
+        world.PutStoreItem(prefix + std::string("bad name ") + name, text);
         world.PutStoreItem(prefix, text);
       }
       world.PutStoreItem(std::string(kRoutesKey), text);
       world.RunFor(Milliseconds(100));
     }
-    CHECK(ServesWrites(world, "odd"));
+    CHECK(ServesWrites(world, "bad"));
     // Later changes come into force: routes, a member, a new primary.
     world.ChangeRoutes(4, 1);
     world.RegisterMissingMember();
@@ -92,9 +92,9 @@
 
 // Guards against a duty that nobody can take or keep any more: its record was
 // replaced by something else.
-TEST_CASE("The owner of a record writes it again over an odd one") {
+TEST_CASE("The owner of a record writes it again over a malformed one") {
   for (const auto fenced : {true, false}) {
-    for (const auto& text : OddTexts()) {
+    for (const auto& text : MalformedTexts()) {
       CAPTURE(fenced);
       CAPTURE(text.substr(0, 40));
       GatewayFixture world({.gateways = 3, .group = {.fenced = fenced}});
@@ -124,7 +124,7 @@
   const auto other = (holder + 1) % 3;
   world.KillGateway(other);
   world.FreezeGateway(holder, true);
-  world.PutStoreItem("kingcuplock/owner/g0", "odd");
+  world.PutStoreItem("kingcuplock/owner/g0", "bad");
   world.RunFor(Milliseconds(50));
   world.StartGateway(other);
   world.RunFor(Milliseconds(1000));
@@ -144,7 +144,7 @@
   REQUIRE(world.OrderFencingTokens().size() == 1);
   world.RestartMember("m1");
   world.KillGateway(0);
-  world.PutStoreItem("kingcuplock/owner/g0", "odd");
+  world.PutStoreItem("kingcuplock/owner/g0", "bad");
   world.StartGateway(0);
   world.RunFor(Milliseconds(12'000));
   world.CrashMember("m2");
@@ -153,6 +153,71 @@
   CHECK(world.FindViolations().empty());
 }
 
+/// Returns a peer's offer with one endpoint and one route, both of which can be
+/// used.
+auto UsableOffer() -> RoutesOffer {
+  RoutesOffer out;
+  out.table.version = 9;
+  out.table.routes.push_back({"db-new", "g0"});
+  out.table.groups.push_back({"g0"});
+  EndpointEntry entry;
+  entry.member = "m9";
+  entry.group = "g0";
+  entry.host = "m9";
+  entry.port = 1;
+  entry.data_centre = "dc-0";
+  entry.slots = 1;
+  out.endpoints.push_back(entry);
+  return out;
+}
+
+// Guards against a peer's message whose values can't be used: it ends no
+// process, nothing of it comes into force, and the next one is followed.
+TEST_CASE("A peer's offer with a malformed value is rejected whole") {
+  using Change = std::function<void(RoutesOffer&)>;
+  const std::vector<Change> changes{
+      [](auto& it) { it.endpoints[0].port = 0; },
+      [](auto& it) { it.endpoints[0].slots = 0; },
+      [](auto& it) { it.endpoints[0].slots = 1'000'000'000; },
+      [](auto& it) { it.endpoints[0].member = "a b"; },
+      [](auto& it) { it.endpoints[0].group = "g0\r\nBYE"; },
+      [](auto& it) { it.endpoints[0].host = ""; },
+      [](auto& it) { it.endpoints[0].data_centre = std::string(300, 'x'); },
+      [](auto& it) { it.endpoints[0].born_ms = -1; },
+      [](auto& it) { it.endpoints[0].sequence = -1; },
+      [](auto& it) { it.table.routes[0].database = ""; },
+      [](auto& it) { it.table.routes[0].group = "a b"; },
+      [](auto& it) { it.table.routes[0].timeout_ms = -1; },
+      [](auto& it) { it.table.routes[0].max_age_ms = -1; },
+      [](auto& it) { it.table.groups[0].name = "\n"; },
+      [](auto& it) { it.table.groups[0].connections = 0; },
+      [](auto& it) { it.table.groups[0].synchronous_replicas = -1; },
+      [](auto& it) { it.table.transaction_idle_ms = -1; }};
+  GatewayFixture world({.gateways = 3});
+  world.RunFor(kStart);
+  const auto send = [&](const RoutesOffer& offer) {
+    world.gateway(0).Handle(MessageArrived{777, InboundMessage{offer}});
+    world.RunFor(Milliseconds(50));
+  };
+  for (std::size_t n = 0; n < changes.size(); ++n) {
+    CAPTURE(n);
+    auto offer = UsableOffer();
+    changes[n](offer);
+    send(offer);
+    CHECK(world.gateway(0).Gauges().routes_version == 1);
+  }
+  Heartbeat heartbeat;
+  heartbeat.instance = "gw-9\r\n";
+  heartbeat.host = "no address";
+  heartbeat.port = 7;
+  heartbeat.groups.push_back({"no group", "no member"});
+  world.gateway(0).Handle(MessageArrived{777, InboundMessage{heartbeat}});
+  world.RunFor(Milliseconds(50));
+  CHECK(ServesWrites(world, "after"));
+  send(UsableOffer());
+  CHECK(world.gateway(0).Gauges().routes_version == 9);
+}
+
 // Guards against times and ports of a peer that overflow.
 TEST_CASE("Messages with numbers out of range are rejected") {
   const std::vector<std::string> numbers{
--- a/kingcuplock/gateway/views_test.cc
+++ b/kingcuplock/gateway/views_test.cc
@@ -166,19 +166,19 @@
 TEST_CASE("A later entry of the same era replaces one with a higher number") {
   TimerService timers;
   EndpointDirectory directory(timers, [] {});
-  EndpointEntry odd;
-  odd.member = "m1";
-  odd.born_ms = std::int64_t{1} << 52U;
-  odd.sequence = std::int64_t{1} << 52U;
-  auto entry = odd;
+  EndpointEntry bad;
+  bad.member = "m1";
+  bad.born_ms = std::int64_t{1} << 52U;
+  bad.sequence = std::int64_t{1} << 52U;
+  auto entry = bad;
   entry.born_ms = 500;
   entry.sequence = 7;
   entry.leaving = true;
-  directory.Set(odd, 0);
+  directory.Set(bad, 0);
   directory.Set(entry, 0);
   CHECK(directory.All().front().leaving);
   // The same from a peer.
-  directory.SetFromPeer(odd);
+  directory.SetFromPeer(bad);
   CHECK_FALSE(directory.All().front().leaving);
   directory.Set(entry, 0);
   CHECK(directory.All().front().leaving);
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -210,8 +210,8 @@
             unplanned += [self.restore_store] * 4
         if self.options.promotion_restarts:
             unplanned += [self.restart_around_promotion] * 6
-        if self.options.odd_items:
-            planned += [self.write_odd_items] * 2
+        if self.options.malformed_items:
+            planned += [self.write_malformed_items] * 2
         running = set()
         while time.monotonic() < self.deadline - 4:
             await asyncio.sleep(self.random.uniform(0.2, 1.4))
@@ -287,20 +287,20 @@
             name = ""
         return next((it for it in self.gateways if name == f"gw-{it.number}"), self.choose_gateway())
 
-    async def write_odd_items(self):
+    async def write_malformed_items(self):
         """Writes items that can't be used under the keys that the gateways read, as another writer might."""
         deep = "[" * 150_000
         texts = ["", "\x00\x01", "5", "[]", "{}", deep, '{"service":' + deep + "]" * 150_000 + "}"]
         entry = {"service": SERVICE, "address": "127.0.0.1:9", "zone": "z0", "version": "v1", "slots": 4,
                  "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": 1, "database_role": "replica"}
         owner = {"epoch": 3, "owner": "gw-9", "lease": 7, "term": 2, "name": "gw-9", "host": "no address", "port": 7}
-        odd = [1e300, -1, 2**63, 2**80, 99999, "127.0.0.1:99999", "127.0.0.1:0", "a b\r\nBYE", "x" * 100_000, None, [],
+        values = [1e300, -1, 2**63, 2**80, 99999, "127.0.0.1:99999", "127.0.0.1:0", "a b\r\nBYE", "x" * 100_000, None, [],
                {"a": [[[]]]}, 1.5, True]
         for base in (entry, owner):
-            texts += [json.dumps({**base, field: self.random.choice(odd)}) for field in base]
+            texts += [json.dumps({**base, field: self.random.choice(values)}) for field in base]
         for prefix in ("servers/", "kingcuplock/lease/", "kingcuplock/owner/"):
             for text in self.random.sample(texts, 6):
-                self.store.put(prefix + self.random.choice(["odd", "7", "a b", "x" * 150]), text)
+                self.store.put(prefix + self.random.choice(["bad", "7", "a b", "x" * 150]), text)
         if self.random.random() < 0.3:
             self.store.put(f"kingcuplock/owner/{SERVICE}", self.random.choice(texts))
         if self.random.random() < 0.5:
@@ -638,7 +638,7 @@
                         help="also restore the store from older copies, more often than any other fault")
     parser.add_argument("--promotion-restarts", action="store_true",
                         help="also restart the holder and members around promotions, more often than any other fault")
-    parser.add_argument("--odd-items", action="store_true",
+    parser.add_argument("--malformed-items", action="store_true",
                         help="also write items that can't be used under the keys that gateways read")
     parser.add_argument("--busy", action="store_true",
                         help="every other client sends one operation after the other, without a pause, on one session")
