--- a/kingcuplock/gateway/gateway_open_order_test.cc
+++ b/kingcuplock/gateway/gateway_open_order_test.cc
@@ -68,6 +68,21 @@
                     [event](const auto& it) { return it.event == event; }));
 }
 
+/// Crashes the primary, and kills the holder when it has ordered a promotion
+/// that gets no answer and is carried out `late`. Returns the holder.
+auto KillHolderWithOpenOrder(GatewayFixture& world,
+                             Writers& writers,
+                             Duration late) -> std::size_t {
+  const auto holder = world.PromotionDutyHolder();
+  world.LosePromotionAnswers(late);
+  world.CrashMember("m1");
+  REQUIRE(writers.Run(Milliseconds(5000),
+                      [&] { return !world.OrderFencingTokens().empty(); }));
+  world.LosePromotionAnswers(std::nullopt);
+  world.KillGateway(holder);
+  return holder;
+}
+
 // Guards against a pause without effect: a restarted holder does not know the
 // term, the members follow a later one than it asks for, and their reports go
 // on proving the old primary after its replacement.
@@ -107,13 +122,8 @@
   world.RunFor(kStart);
   Writers writers(world);
   writers.Run(Milliseconds(300));
-  const auto holder = world.PromotionDutyHolder();
-  world.LosePromotionAnswers(Milliseconds(4800));
-  world.CrashMember("m1");
-  REQUIRE(writers.Run(Milliseconds(5000),
-                      [&] { return !world.OrderFencingTokens().empty(); }));
-  world.LosePromotionAnswers(std::nullopt);
-  world.KillGateway(holder);
+  const auto holder =
+      KillHolderWithOpenOrder(world, writers, Milliseconds(4800));
   writers.Run(Milliseconds(2000));
   world.RestartMember("m1");
   writers.Run(Milliseconds(1300));
@@ -139,13 +149,8 @@
     world.StartGateway(n);
     writers.Run(Milliseconds(1500));
   }
-  const auto holder = world.PromotionDutyHolder();
-  world.LosePromotionAnswers(Milliseconds(3500));
-  world.CrashMember("m1");
-  REQUIRE(writers.Run(Milliseconds(5000),
-                      [&] { return !world.OrderFencingTokens().empty(); }));
-  world.LosePromotionAnswers(std::nullopt);
-  world.KillGateway(holder);
+  const auto holder =
+      KillHolderWithOpenOrder(world, writers, Milliseconds(3500));
   writers.Run(Milliseconds(1200));
   world.RestartMember("m1");
   writers.Run(Milliseconds(300));
--- a/kingcuplock/gateway/gateway_stop_test.cc
+++ b/kingcuplock/gateway/gateway_stop_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -87,12 +88,16 @@
   int count_ = 0;
 };
 
-/// Stops the gateway under busy clients, and ends its process when the stop is
-/// complete.
+/// Half of the number of clients in StopUnderBusyClients().
+constexpr int kBusyClientPairs = 6;
+
+/// Load pattern "sessions without a pause": stops the gateway under clients
+/// that send one operation after the other, half of them single statements and
+/// half transactions, and ends its process when the stop is complete.
 auto StopUnderBusyClients(GatewayFixture& world) -> void {
   world.RunFor(kStart);
   std::vector<BusyClient> clients;
-  for (auto n = 0; n < 6; ++n) {
+  for (auto n = 0; n < kBusyClientPairs; ++n) {
     clients.emplace_back(world, "s" + std::to_string(n), 0);
     clients.emplace_back(world, "t" + std::to_string(n), 10);
   }
@@ -128,6 +133,16 @@
                           .target_ms = 1000});
     StopUnderBusyClients(world);
     CHECK(world.CountSuccessfulStatements() > 40);
+    const auto refusals = std::count_if(
+        world.client_statements().begin(), world.client_statements().end(),
+        [](const auto& it) {
+          return it.answer &&
+                 it.answer->text.find("about to stop") != std::string::npos;
+        });
+    // No session is refused twice: it is closed after the first refusal.
+    CHECK(refusals <= 2 * kBusyClientPairs);
+    MESSAGE(work_ms << " ms: " << world.CountSuccessfulStatements()
+                    << " served, " << refusals << " refused");
     std::map<std::string, const ClientStatement*> by_id;
     for (const auto& it : world.client_statements()) {
       by_id[it.statement.id] = &it;
