Tenants: callers are known by their keys, and connections to members are opened in a tenant's name

Cause: the second field of the hello was taken for a user's name and written to the log; it is a key. Ruled out: a pool a tenant and member (needs many times the room), re-greeting (not in the line protocol).

--- a/kingcuplock/base/log.h
+++ b/kingcuplock/base/log.h
@@ -87,6 +87,11 @@
   kStoreRestored = 747,
   kStoreItemIgnored = 748,
   kOlderRoutesIgnored = 749,
+  kUnknownKeyRefused = 760,
+  kSessionKeyRemoved = 761,
+  kQuotaExceeded = 762,
+  kTenantRejected = 763,
+  kConfigurationUnheard = 764,
 };
 
 /// Name and value of one field of an event.
--- a/kingcuplock/gateway/gateway.cc
+++ b/kingcuplock/gateway/gateway.cc
@@ -16,6 +16,10 @@
 constexpr Milliseconds kPeerUpdateDelay{300};
 /// Prefix of the gateways' own keys in the store.
 constexpr std::string_view kKeyPrefix = "kingcuplock/";
+/// Fraction (1 / N) of the time in which a configuration has to be in use that
+/// a transaction may last after its key was removed. The configuration may
+/// arrive late, and the transaction's last statement needs time at the member.
+constexpr int kTransactionTimeDivisor = 4;
 
 // Returns the instance's names in the store, and its entry as others read it.
 auto NamesOf(const GatewaySettings& settings, const std::string& incarnation)
@@ -93,7 +97,11 @@
           [this](const std::string& it) { return FindGroup(it); },
           [this] { return Milliseconds(routes_.table().transaction_idle_ms); },
           [this] { return PhaseOfOwnStop(); },
-          [this](ConnectionId client) { CloseRefusedSession(client); },
+          [this](ConnectionId client) { CloseIfIdle(client); },
+          [this] {
+            return Milliseconds(settings_.routes_propagation_ms) /
+                   kTransactionTimeDivisor;
+          },
           observer_.answered} {}
 
 Gateway::~Gateway() {
@@ -128,7 +136,7 @@
 auto Gateway::OnClientHello(ConnectionId client, const ClientHello& hello)
     -> void {
   StatementAnswer answer;
-  if (sessions_.contains(client)) {
+  if (sessions_.contains(client) || unknown_keys_.Remove(client)) {
     answer.error = StatementError::kMalformed;
     answer.text = "the session is open already";
     out_.Add(AnswerClient{client, answer, true, true});
@@ -146,26 +154,46 @@
     answer.text = hello.database;
   }
   if (!answer.IsOk()) {
-    shell_.Log(Event::kClientRejected,
-               {{"client", std::to_string(client)},
-                {"database", hello.database},
-                {"routes_version", std::to_string(routes_.table().version)},
-                {"reason", std::string(ToString(answer.error))}});
-    out_.Add(AnswerClient{client, answer, true, true});
+    RefuseClient(client, hello, std::move(answer));
     return;
   }
+  if (auto tenant = Identify(hello)) {
+    OpenSession(client, hello, std::move(*tenant));
+  } else {
+    AwaitKey(client, hello);
+  }
+}
+
+auto Gateway::RefuseClient(ConnectionId client,
+                           const ClientHello& hello,
+                           StatementAnswer answer) -> void {
+  shell_.Log(answer.error == StatementError::kUnauthorized
+                 ? Event::kUnknownKeyRefused
+                 : Event::kClientRejected,
+             {{"client", std::to_string(client)},
+              {"database", hello.database},
+              {"routes_version", std::to_string(routes_.table().version)},
+              {"reason", std::string(ToString(answer.error))}});
+  out_.Add(AnswerClient{client, std::move(answer), true, true});
+}
+
+auto Gateway::OpenSession(ConnectionId client,
+                          const ClientHello& hello,
+                          std::string tenant) -> void {
   shell_.Log(Event::kSessionOpened, {{"client", std::to_string(client)},
                                      {"database", hello.database},
-                                     {"user", hello.user}});
-  sessions_[client] = std::make_unique<Session>(
-      client, hello, session_callbacks_, timers_, out_, shell_);
-  out_.Add(AnswerClient{client, answer, true, false});
+                                     {"tenant", tenant}});
+  sessions_[client] =
+      std::make_unique<Session>(client, hello, std::move(tenant),
+                                session_callbacks_, timers_, out_, shell_);
+  out_.Add(AnswerClient{client, {}, true, false});
 }
 
 auto Gateway::OnClientStatement(ConnectionId client, SessionStatement statement)
     -> void {
   const auto it = sessions_.find(client);
   if (it == sessions_.end()) {
+    unknown_keys_.Remove(client);
     OnInvalidClientInput(client, {StatementError::kMalformed,
                                   "open the session before its statements"});
     return;
@@ -179,6 +207,7 @@
   shell_.Log(Event::kClientRejected, {{"client", std::to_string(client)},
                                       {"reason", invalid_input.reason}});
   sessions_.erase(client);
+  unknown_keys_.Remove(client);
   StatementAnswer answer;
   answer.error = invalid_input.error;
   answer.text = invalid_input.reason;
@@ -186,6 +215,7 @@
 }
 
 auto Gateway::OnClientClosed(ConnectionId client) -> void {
+  unknown_keys_.Remove(client);
   if (sessions_.erase(client) > 0) {
     shell_.Log(Event::kSessionClosed, {{"client", std::to_string(client)}});
   }
@@ -227,12 +257,19 @@
 }
 
 auto Gateway::OnRoutesChanged() -> void {
+  tenants_.SetTable(routes_.table());
+  for (const auto& it : routes_.table().rejected_tenants) {
+    shell_.Log(Event::kTenantRejected,
+               {{"routes_version", std::to_string(routes_.table().version)},
+                {"reason", it}});
+  }
+  CheckSessionKeys();
   std::vector<std::string> names;
   for (const auto& it : routes_.table().groups) {
     names.push_back(it.name);
     auto& group = groups_[it.name];
     if (group) {
-      group->SetConfig(it);
+      group->SetConfig(it, tenants_.ChecksKeys());
       continue;
     }
     group = std::make_unique<Group>(
@@ -248,6 +285,7 @@
                          ReadOrderRecord(name, std::move(callback));
                        },
                        observer_.served});
+    group->SetConfig(it, tenants_.ChecksKeys());
   }
   duty_ownership_.SetDatabases(names);
   // Heartbeats tell the peers of the new version; they pass it on.
--- a/kingcuplock/gateway/gateway.h
+++ b/kingcuplock/gateway/gateway.h
@@ -37,6 +37,8 @@
 #include "kingcuplock/schema/messages.h"
 #include "kingcuplock/schema/settings.h"
 #include "kingcuplock/store_client/store_client.h"
+#include "kingcuplock/tenants/tenant_directory.h"
+#include "kingcuplock/tenants/unknown_key_lookup.h"
 
 namespace kingcuplock {
 
@@ -137,6 +139,19 @@
   auto Gauges() const -> GatewayGauges;
 
  private:
+  // Tenants and their keys.
+  auto Identify(const ClientHello& hello) const -> std::optional<std::string>;
+  auto OpenSession(ConnectionId client,
+                   const ClientHello& hello,
+                   std::string tenant) -> void;
+  auto AwaitKey(ConnectionId client, const ClientHello& hello) -> void;
+  auto ReadRoutesForUnknownKeys() -> void;
+  auto DecideUnknownKeys() -> void;
+  auto CheckSessionKeys() -> void;
+  auto RefuseClient(ConnectionId client,
+                    const ClientHello& hello,
+                    StatementAnswer answer) -> void;
+
   // Configuration and membership.
   auto OnRoutesChanged() -> void;
   auto OnEndpointsChanged() -> void;
@@ -191,7 +206,7 @@
   auto ContinueStop() -> void;
   auto PhaseOfOwnStop() const -> StopPhase;
   auto CloseIdleSessions() -> void;
-  auto CloseRefusedSession(ConnectionId client) -> void;
+  auto CloseIfIdle(ConnectionId client) -> void;
   auto EndAllSessions() -> void;
   auto FinishStop() -> void;
 
@@ -202,6 +217,8 @@
   Outbox& shell_;
   StoreClient store_;
   ActiveRouteTable routes_;
+  TenantDirectory tenants_;
+  UnknownKeyLookup unknown_keys_;
   EndpointDirectory endpoints_;
   OwnershipKeeper duty_ownership_;
   PeerLinks peers_;
--- a/kingcuplock/gateway/gateway_outbox.h
+++ b/kingcuplock/gateway/gateway_outbox.h
@@ -39,6 +39,8 @@
   std::string group;
   /// Member that is expected at the address; any other one refuses.
   std::string member;
+  /// Tenant in whose name the connection is opened; empty for none.
+  std::string tenant = {};
 };
 
 /// Sends a statement to a member.
--- a/kingcuplock/gateway/gateway_stop.cc
+++ b/kingcuplock/gateway/gateway_stop.cc
@@ -137,7 +137,7 @@
 }
 
 // The session is the caller, so it is closed from the event loop.
-auto Gateway::CloseRefusedSession(ConnectionId client) -> void {
+auto Gateway::CloseIfIdle(ConnectionId client) -> void {
   timers_.After(Duration::zero(), [this, client] {
     const auto it = sessions_.find(client);
     if (it != sessions_.end() && it->second->IsIdle()) {
--- a/kingcuplock/gateway/group.cc
+++ b/kingcuplock/gateway/group.cc
@@ -112,6 +112,12 @@
   ConnectionLimits limits;
   limits.max_connections = std::max(even * kShareFactor, kMinConnections);
   limits.max_idle = std::max<std::int64_t>(even - 1, 1);
+  if (connections_by_tenant_) {
+    // Each idle connection serves one of many tenants, so all of the share are
+    // kept.
+    limits.max_idle = std::max<std::int64_t>(even, 1);
+    limits.by_tenant = true;
+  }
   if (const auto without = instances - config_.connections; without > 0) {
     limits.max_idle = keep_connected_ ? 1 : 0;
     limits.turn_duration = std::min<Duration>(
@@ -156,8 +162,10 @@
   SetLimits();
 }
 
-auto Group::SetConfig(const GroupConfig& config) -> void {
+auto Group::SetConfig(const GroupConfig& config, bool connections_by_tenant)
+    -> void {
   config_ = config;
+  connections_by_tenant_ = connections_by_tenant;
   SetInstanceCount(instance_count_);
 }
 
@@ -458,6 +466,9 @@
 /// turns.
 auto Group::StartRead(const StatementTaskPtr& task,
                       std::span<const std::string> order) -> bool {
+  if (connections_by_tenant_) {
+    return StartReadOfTenant(task, order);
+  }
   const auto one_only = ComputeConnectionLimits().turn_duration.has_value();
   auto prepared = false;
   for (const auto& it : order) {
@@ -477,6 +488,32 @@
   return false;
 }
 
+/// Starts a read at the first member of `order` where the read's tenant has a
+/// free connection. If there is none, opens one at the first member that admits
+/// the read.
+auto Group::StartReadOfTenant(const StatementTaskPtr& task,
+                              std::span<const std::string> order) -> bool {
+  const auto connection_use = task->connection_use();
+  MemberConnectionPool* first = nullptr;
+  for (const auto& it : order) {
+    auto& member = members_.at(it);
+    if (!MayStart(*task, read_queue_, member)) {
+      continue;
+    }
+    if (member.pool->HasFreeConnection(connection_use, task->tenant)) {
+      if (TryStartAttempt(task, member)) {
+        return true;
+      }
+    } else if (first == nullptr) {
+      first = member.pool.get();
+    }
+  }
+  if (first != nullptr) {
+    first->EnsureOpening(connection_use, task->tenant);
+  }
+  return false;
+}
+
 auto Group::MayUsePrimary() const -> bool {
   if (!primary_.IsUsable()) {
     return false;
@@ -531,7 +568,7 @@
     }
   }
   const auto link = member.pool->Acquire(*task->session, task->prepared_ptr(),
-                                         task->connection_use());
+                                         task->connection_use(), task->tenant);
   if (link == 0) {
     return false;
   }
@@ -584,9 +621,10 @@
           if (!MayStart(*it.item, primary_queue_, *member)) {
             return false;
           }
-          if (!member->pool->HasFreeConnection(connection_use)) {
+          const auto& tenant = it.item->tenant;
+          if (!member->pool->HasFreeConnection(connection_use, tenant)) {
             // Opens another connection if the limits allow.
-            member->pool->EnsureOpening(connection_use);
+            member->pool->EnsureOpening(connection_use, tenant);
             return false;
           }
           return true;
@@ -608,7 +646,48 @@
   }
 }
 
+/// Starts the waiting reads whose tenants have free connections. A read that
+/// waits for a connection of its tenant does not hold up the others.
+auto Group::DispatchWaitingReadsByTenant() -> void {
+  std::vector<Queue::Entry> late;
+  StatementTaskPtr for_primary;
+  for (auto n = read_queue_.Size(); n > 0; --n) {
+    auto floor_missing = false;
+    const auto next =
+        read_queue_.PopIf(timers_.Now(), late, [&](const Queue::Entry& it) {
+          const auto& task = it.item;
+          for_primary = nullptr;
+          if (task->done) {
+            return true;
+          }
+          if (floor_missing || !SetReadFloor(task)) {
+            floor_missing = true;
+            return false;
+          }
+          const auto order = RankReadMembers(*task);
+          if (OnlyPrimaryCanServe(order)) {
+            for_primary = task;
+            return true;
+          }
+          return StartReadOfTenant(task, order);
+        });
+    if (!next) {
+      break;
+    }
+    if (for_primary) {
+      DispatchToPrimary(std::exchange(for_primary, nullptr));
+    }
+  }
+  for (const auto& it : late) {
+    RefuseTask(it.item, "the deadline is too near");
+  }
+}
+
 auto Group::DispatchWaitingReads() -> void {
+  if (connections_by_tenant_) {
+    DispatchWaitingReadsByTenant();
+    return;
+  }
   std::vector<Queue::Entry> late;
   for (auto n = read_queue_.Size(); n > 0; --n) {
     auto next = read_queue_.Pop(timers_.Now(), late);
--- a/kingcuplock/gateway/group.h
+++ b/kingcuplock/gateway/group.h
@@ -100,8 +100,9 @@
   Group(const Group&) = delete;
   auto operator=(const Group&) -> Group& = delete;
 
-  /// Replaces the configuration.
-  auto SetConfig(const GroupConfig& config) -> void;
+  /// Replaces the configuration. `connections_by_tenant` says whether clients
+  /// have tenants; each connection to a member is then opened for one tenant.
+  auto SetConfig(const GroupConfig& config, bool connections_by_tenant) -> void;
 
   /// Sets the number of instances that share the members' connections.
   auto SetInstanceCount(std::int64_t instances) -> void;
@@ -255,6 +256,8 @@
   auto DispatchRead(const StatementTaskPtr& task) -> void;
   auto StartRead(const StatementTaskPtr& task,
                  std::span<const std::string> order) -> bool;
+  auto StartReadOfTenant(const StatementTaskPtr& task,
+                         std::span<const std::string> order) -> bool;
   auto OnlyPrimaryCanServe(std::span<const std::string> order) const -> bool;
   auto RefuseWithoutFloor(const StatementTaskPtr& task) -> void;
   auto SetReadFloor(const StatementTaskPtr& task) -> bool;
@@ -268,6 +271,7 @@
   auto DispatchWaiting() -> void;
   auto DispatchWaitingForPrimary() -> void;
   auto DispatchWaitingReads() -> void;
+  auto DispatchWaitingReadsByTenant() -> void;
   auto MayUsePrimary() const -> bool;
   auto ExpectedPrimaryReturn() const -> std::optional<Time>;
   auto HedgeRead(const StatementTaskPtr& task) -> void;
@@ -352,6 +356,7 @@
   Time members_known_since_;
   StatementTaskRunner runner_;
   std::map<std::string, Member, std::less<>> members_;
+  bool connections_by_tenant_ = false;
   std::int64_t instance_count_ = 1;
   bool keep_connected_ = false;
   PrimaryView primary_;
--- a/kingcuplock/gateway/member_connection_pool.cc
+++ b/kingcuplock/gateway/member_connection_pool.cc
@@ -29,8 +29,9 @@
 /// dead instances after 3 s.
 constexpr Milliseconds kFirstLimitPause{100};
 constexpr Milliseconds kLongestLimitPause{800};
-/// The same pause in ms where instances take turns. It allows several attempts
-/// within the time in which a connection is to become free.
+/// The same pause in ms where instances take turns, or where tenants do. It
+/// allows several attempts within the time in which a connection is to become
+/// free.
 constexpr Milliseconds kTurnLimitPause{30};
 /// Idle time in ms after which connections beyond ConnectionLimits::max_idle
 /// are closed.
@@ -152,21 +153,23 @@
              limits_.max_connections + extra;
 }
 
-auto MemberConnectionPool::HasFreeConnection(ConnectionUse connection_use) const
+auto MemberConnectionPool::HasFreeConnection(ConnectionUse connection_use,
+                                             std::string_view tenant) const
     -> bool {
   if (connection_use == ConnectionUse::kTransaction &&
       !MayLendToTransaction()) {
     return false;
   }
   return std::any_of(
-      connections_.begin(), connections_.end(),
-      [](const auto& it) { return it.second.state == State::kIdle; });
+      connections_.begin(), connections_.end(), [tenant](const auto& it) {
+        return it.second.state == State::kIdle && it.second.tenant == tenant;
+      });
 }
 
 auto MemberConnectionPool::Acquire(const SessionState& session,
                                    const PreparedStatement* prepared,
-                                   ConnectionUse connection_use)
-    -> ConnectionId {
+                                   ConnectionUse connection_use,
+                                   std::string_view tenant) -> ConnectionId {
   if (connection_use == ConnectionUse::kTransaction &&
       !MayLendToTransaction()) {
     return 0;
@@ -174,7 +177,9 @@
   ConnectionId best = 0;
   auto best_cost = 0;
   for (const auto& [id, connection] : connections_) {
-    if (connection.state != State::kIdle) {
+    const auto any_tenant = connection_use == ConnectionUse::kControl;
+    if (connection.state != State::kIdle ||
+        (!any_tenant && connection.tenant != tenant)) {
       continue;
     }
     const auto cost =
@@ -190,7 +195,7 @@
     }
   }
   if (best == 0) {
-    EnsureOpening(connection_use);
+    EnsureOpening(connection_use, tenant);
     return 0;
   }
   auto& connection = connections_.at(best);
@@ -210,11 +215,52 @@
   return connections_.at(connection).accepted_since;
 }
 
-auto MemberConnectionPool::EnsureOpening(ConnectionUse connection_use) -> bool {
-  if (MayOpen(connection_use) && opening_count_ < lent_count_ + 1) {
-    OpenOne();
+auto MemberConnectionPool::EnsureOpening(ConnectionUse connection_use,
+                                         std::string_view tenant) -> bool {
+  std::int64_t opening = 0;
+  std::int64_t lent = 0;
+  for (const auto& [id, it] : connections_) {
+    if (it.tenant == tenant) {
+      opening +=
+          it.state == State::kOpening || it.state == State::kHelloSent ? 1 : 0;
+      lent += it.state == State::kLent || it.state == State::kReleasePending
+                  ? 1
+                  : 0;
+    }
+  }
+  if (opening > lent || timers_.Now() < no_opening_before_) {
+    return opening > 0;
+  }
+  const auto at_share =
+      limits_.by_tenant &&
+      static_cast<std::int64_t>(connections_.size()) >= limits_.max_idle;
+  if (at_share) {
+    CloseIdleOfOtherTenant(tenant);
+  }
+  if (MayOpen(connection_use)) {
+    OpenOne(tenant);
+    ++opening;
+  }
+  return opening > 0;
+}
+
+/// Closes the connection of another tenant that has been idle for longest, if
+/// there is one.
+auto MemberConnectionPool::CloseIdleOfOtherTenant(std::string_view tenant)
+    -> void {
+  auto longest = connections_.end();
+  for (auto it = connections_.begin(); it != connections_.end(); ++it) {
+    if (it->second.state == State::kIdle && it->second.tenant != tenant &&
+        (longest == connections_.end() ||
+         it->second.idle_since < longest->second.idle_since)) {
+      longest = it;
+    }
+  }
+  if (longest != connections_.end()) {
+    const auto id = longest->first;
+    out_.Add(CloseStream{id});
+    Remove(id);
   }
-  return opening_count_ > 0;
 }
 
 auto MemberConnectionPool::ApplySessionState(ConnectionId id,
@@ -333,9 +379,10 @@
   }
 }
 
-auto MemberConnectionPool::OpenOne() -> void {
+auto MemberConnectionPool::OpenOne(std::string_view tenant) -> void {
   const auto id = out_.Open(entry_.host, entry_.port, kConnectTimeout);
   connections_[id].state = State::kOpening;
+  connections_[id].tenant = tenant;
   ++opening_count_;
 }
 
@@ -348,7 +395,7 @@
   const auto now = timers_.Now();
   it->second.pending.push_back(
       {[](const StatementAnswer*) {}, now, now + kHelloTimeout});
-  out_.Add(SendMemberHello{id, entry_.group, entry_.member});
+  out_.Add(SendMemberHello{id, entry_.group, entry_.member, it->second.tenant});
   ScheduleSilenceCheck();
   return true;
 }
@@ -413,7 +460,7 @@
   Remove(id);
   if (answer.error == StatementError::kTooManyConnections) {
     limit_pause_ =
-        limits_.turn_duration
+        limits_.turn_duration || limits_.by_tenant
             ? Duration(kTurnLimitPause)
             : std::clamp<Duration>(2 * limit_pause_, kFirstLimitPause,
                                    kLongestLimitPause);
@@ -511,18 +558,21 @@
 }
 
 // Sets a timer for the next connection whose turn ends or that is idle for too
-// long. Needed only where instances take turns, as other instances then wait
-// for connections that this one does not use.
+// long. Needed only where instances or tenants take turns, as other instances
+// then wait for connections that this one does not use.
 auto MemberConnectionPool::ScheduleIdleClose() -> void {
-  if (!limits_.turn_duration || idle_timer_ != 0) {
+  if ((!limits_.turn_duration && !limits_.by_tenant) || idle_timer_ != 0) {
     return;
   }
   std::optional<Time> due;
   for (const auto& [id, connection] : connections_) {
     if (connection.state == State::kIdle) {
       const auto over =
-          std::min<Time>(connection.accepted_since + *limits_.turn_duration,
-                         connection.idle_since + kTurnIdleTimeout);
+          limits_.turn_duration
+              ? std::min<Time>(
+                    connection.accepted_since + *limits_.turn_duration,
+                    connection.idle_since + kTurnIdleTimeout)
+              : connection.idle_since + kExtraIdleTimeout + Milliseconds(1);
       due = std::min(due.value_or(over), over);
     }
   }
--- a/kingcuplock/gateway/member_connection_pool.h
+++ b/kingcuplock/gateway/member_connection_pool.h
@@ -1,8 +1,10 @@
 #pragma once
 
-/// Pool of connections to one member. A connection is lent to one statement or
-/// transaction at a time; the one whose session state needs the fewest changes
-/// is preferred. When the member is silent, the pool opens a new connection to
+/// Pool of connections to one member. A connection is opened in the name of one
+/// tenant, or of none, and lent to its tenant's statements and transactions,
+/// one at a time; the one whose session state needs the fewest changes is
+/// preferred. A tenant that has none may take the place of another one's idle
+/// connection. When the member is silent, the pool opens a new connection to
 /// tell a dead member from a dead connection. While it keeps idle connections,
 /// their state also shows whether the member can be reached.
 ///
@@ -23,6 +25,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "kingcuplock/admission/concurrency_limit.h"
 #include "kingcuplock/base/callback_guard.h"
@@ -55,6 +58,10 @@
   /// Set where the member has fewer connections than there are instances, so
   /// that instances take turns.
   std::optional<Duration> turn_duration = std::nullopt;
+  /// Whether connections belong to tenants. A tenant without one then takes the
+  /// place of another's idle connection rather than one beyond `max_idle`,
+  /// which other instances may need for their tenants.
+  bool by_tenant = false;
 };
 
 /// Purpose that a connection is lent for.
@@ -111,19 +118,22 @@
   /// state of `session` and `prepared` (or nullptr). Returns its id. If none is
   /// free, returns 0 and opens another one if the limits allow. Transactions
   /// leave one connection for single statements. For the gateway's own
-  /// statements, lends the free connection that was accepted first.
-  /// O(connections).
+  /// statements, lends the free connection that was accepted first, of whatever
+  /// tenant. O(connections).
   auto Acquire(const SessionState& session,
                const PreparedStatement* prepared,
-               ConnectionUse connection_use) -> ConnectionId;
+               ConnectionUse connection_use,
+               std::string_view tenant = {}) -> ConnectionId;
 
   /// Returns when the member accepted an open connection. Throws
   /// std::out_of_range if there is no such connection.
   auto AcceptedSince(ConnectionId connection) const -> Time;
 
-  /// Opens another connection if the limits allow and no more are being opened
-  /// than are lent. Returns whether one is being opened.
-  auto EnsureOpening(ConnectionUse connection_use) -> bool;
+  /// Opens another connection of `tenant` if the limits allow and no more of
+  /// its connections are being opened than are lent. Returns whether a
+  /// connection of the tenant is being opened.
+  auto EnsureOpening(ConnectionUse connection_use, std::string_view tenant = {})
+      -> bool;
 
   /// Sends the statements that give a lent connection the state of `session`
   /// before its next statement. Returns the name of `prepared` on the
@@ -168,7 +178,8 @@
   /// Returns the number of connections that are open or being opened.
   auto Size() const -> std::size_t { return connections_.size(); }
   /// Returns whether Acquire() would lend a connection now.
-  auto HasFreeConnection(ConnectionUse connection_use) const -> bool;
+  auto HasFreeConnection(ConnectionUse connection_use,
+                         std::string_view tenant = {}) const -> bool;
 
   /// These handle an event of a connection. They return false, and do nothing,
   /// if it is not one of this pool.
@@ -189,6 +200,7 @@
   };
   struct Connection {
     State state = State::kOpening;
+    std::string tenant;
     ConnectionUse connection_use = ConnectionUse::kStatement;
     /// Whether it counts as in flight for a statement that is not sent yet.
     bool reserved_in_flight = false;
@@ -201,7 +213,8 @@
     Time accepted_since{};
   };
 
-  auto OpenOne() -> void;
+  auto OpenOne(std::string_view tenant = {}) -> void;
+  auto CloseIdleOfOtherTenant(std::string_view tenant) -> void;
   auto MayOpen(ConnectionUse connection_use) const -> bool;
   auto MayLendToTransaction() const -> bool;
   auto EndInFlight(const PendingAnswer& ended, const StatementAnswer& answer)
--- a/kingcuplock/gateway/session.cc
+++ b/kingcuplock/gateway/session.cc
@@ -23,12 +23,14 @@
 
 Session::Session(ConnectionId client,
                  ClientHello hello,
+                 std::string tenant,
                  const SessionCallbacks& callbacks,
                  TimerService& timers,
                  GatewayOutbox& out,
                  Outbox& log)
     : client_(client),
       hello_(std::move(hello)),
+      tenant_(std::move(tenant)),
       callbacks_(callbacks),
       timers_(timers),
       out_(out),
@@ -103,7 +105,7 @@
                 "the transaction was rolled back after its idle time");
     return;
   }
-  if (RefuseForStop(statement)) {
+  if (RefuseForStop(statement) || RefuseWithoutKey(statement)) {
     return;
   }
   if (IsLocal(statement.kind)) {
@@ -113,39 +115,90 @@
   }
 }
 
+// Returns whether the statement begins a transaction, or is one that needs a
+// member and stands outside a transaction.
+auto Session::BeginsOperation(const SessionStatement& statement) const -> bool {
+  const auto begins = statement.kind == StatementKind::kBegin ||
+                      statement.kind == StatementKind::kBeginReadOnly;
+  return transaction_state_ != TransactionState::kOpen &&
+         (begins || (!IsLocal(statement.kind) &&
+                     statement.kind != StatementKind::kCommit));
+}
+
 // Refuses a statement that might not be answered before the instance stops. A
 // client that sends one operation after the other leaves no moment at which its
 // session could be closed without a loss.
 auto Session::RefuseForStop(const SessionStatement& statement) -> bool {
   const auto phase = callbacks_.stop_phase();
   const auto open = transaction_state_ == TransactionState::kOpen;
-  const auto commits = statement.kind == StatementKind::kCommit;
-  const auto begins = statement.kind == StatementKind::kBegin ||
-                      statement.kind == StatementKind::kBeginReadOnly;
-  const auto begins_operation =
-      !open && (begins || (!IsLocal(statement.kind) && !commits));
-  if (begins_operation && phase >= StopPhase::kRefusingNew) {
+  if (BeginsOperation(statement) && phase >= StopPhase::kRefusingNew) {
     AnswerError(StatementError::kBusy,
                 "the instance is about to stop; connect again");
-    callbacks_.refused_for_stop(client_);
+    callbacks_.close_when_idle(client_);
     return true;
   }
   if (!open || statement.kind == StatementKind::kRollback ||
       phase < StopPhase::kEndingTransactions) {
     return false;
   }
+  AbortTransaction(statement,
+                   "the instance is about to stop and has rolled the "
+                   "transaction back; connect again and start it again");
+  return true;
+}
+
+// Refuses a statement of a session whose key was removed, unless it belongs to
+// a transaction that still has time to end.
+auto Session::RefuseWithoutKey(const SessionStatement& statement) -> bool {
+  if (!key_removed_) {
+    return false;
+  }
+  if (BeginsOperation(statement)) {
+    AnswerError(StatementError::kUnauthorized,
+                "the key is no longer valid; connect with another one");
+    callbacks_.close_when_idle(client_);
+    return true;
+  }
+  const auto time_over = timers_.Now() - *key_removed_ >=
+                         callbacks_.transaction_time_without_key();
+  if (transaction_state_ != TransactionState::kOpen || !time_over ||
+      statement.kind == StatementKind::kRollback) {
+    return false;
+  }
+  AbortTransaction(statement,
+                   "the key is no longer valid, and the transaction was rolled "
+                   "back; connect with another key and start it again");
+  return true;
+}
+
+// Rolls the open transaction back and answers `statement` with that.
+auto Session::AbortTransaction(const SessionStatement& statement,
+                               std::string text) -> void {
   if (pinned_) {
     auto pinned = std::exchange(pinned_, {});
     RollBackAndRelease(pinned.pool, pinned.link, "");
   }
-  if (commits) {
+  if (statement.kind == StatementKind::kCommit) {
     transaction_state_ = TransactionState::kIdle;
   }
-  AnswerError(StatementError::kAborted,
-              "the instance is about to stop and has rolled the transaction "
-              "back; connect again and start it again");
-  callbacks_.refused_for_stop(client_);
-  return true;
+  AnswerError(StatementError::kAborted, std::move(text));
+  callbacks_.close_when_idle(client_);
+}
+
+auto Session::NoteKeyRemoved() -> void {
+  if (key_removed_) {
+    return;
+  }
+  key_removed_ = timers_.Now();
+  log_.Log(Event::kSessionKeyRemoved,
+           {{"client", std::to_string(client_)},
+            {"tenant", tenant_},
+            {"database", hello_.database},
+            {"in_transaction",
+             transaction_state_ == TransactionState::kIdle ? "no" : "yes"}});
+  if (IsIdle()) {
+    callbacks_.close_when_idle(client_);
+  }
 }
 
 auto Session::EndRunningStatements() -> void {
@@ -288,6 +341,7 @@
   const auto writes = IsWrite(statement, prepared ? &*prepared : nullptr);
   auto task = std::make_shared<StatementTask>();
   task->client = client_;
+  task->tenant = tenant_;
   task->statement = std::move(statement);
   task->prepared = std::move(prepared);
   task->route = route_;
@@ -384,6 +438,9 @@
   callbacks_.answered(answer.error, timers_.Now() - current_started_);
   out_.Add(AnswerClient{client_, std::move(answer)});
   StartIdleTimer();
+  if (key_removed_ && IsIdle()) {
+    callbacks_.close_when_idle(client_);
+  }
   RunNextStatement();
 }
 
--- a/kingcuplock/gateway/session.h
+++ b/kingcuplock/gateway/session.h
@@ -38,9 +38,12 @@
   std::function<Milliseconds()> transaction_idle;
   /// Returns the phase of the instance's planned stop.
   std::function<StopPhase()> stop_phase;
-  /// Reports that an operation was refused because of the stop. The session is
-  /// then closed as soon as it is idle.
-  std::function<void(ConnectionId client)> refused_for_stop;
+  /// Asks for the session to be closed if it is idle, because of the stop or
+  /// because its key is no longer valid. It is closed from the event loop.
+  std::function<void(ConnectionId client)> close_when_idle;
+  /// Returns the time that a transaction has to end after the session's key was
+  /// removed.
+  std::function<Duration()> transaction_time_without_key;
   /// Reports that a statement was answered, `latency` after it began to run.
   std::function<void(StatementError, Duration latency)> answered;
 };
@@ -53,9 +56,11 @@
   static constexpr std::size_t kMaxWaitingStatements = 64;
 
   /// `client` is the connection that answers go to, `hello` the message that
-  /// opened the session. The references have to outlive the session.
+  /// opened the session, `tenant` the client's tenant or empty. The references
+  /// have to outlive the session.
   Session(ConnectionId client,
           ClientHello hello,
+          std::string tenant,
           const SessionCallbacks& callbacks,
           TimerService& timers,
           GatewayOutbox& out,
@@ -73,6 +78,14 @@
   /// outcome.
   auto EndRunningStatements() -> void;
 
+  /// Notes that the session's key is no longer valid. Statements that begin an
+  /// operation are refused from now on, and an open transaction is rolled back
+  /// unless it ends soon. The session is closed once it is idle.
+  auto NoteKeyRemoved() -> void;
+
+  auto hello() const -> const ClientHello& { return hello_; }
+  auto tenant() const -> const std::string& { return tenant_; }
+
   /// Returns whether the session has no open transaction and no statement that
   /// runs or waits.
   auto IsIdle() const -> bool {
@@ -85,7 +98,11 @@
  private:
   auto RunNextStatement() -> void;
   auto RunStatement(SessionStatement statement) -> void;
+  auto BeginsOperation(const SessionStatement& statement) const -> bool;
   auto RefuseForStop(const SessionStatement& statement) -> bool;
+  auto RefuseWithoutKey(const SessionStatement& statement) -> bool;
+  auto AbortTransaction(const SessionStatement& statement, std::string text)
+      -> void;
   auto AnswerLocally(const SessionStatement& statement) -> void;
   auto BeginTransaction(const SessionStatement& statement) -> void;
   auto RollBackTransaction(const SessionStatement& statement) -> void;
@@ -111,6 +128,9 @@
 
   ConnectionId client_;
   ClientHello hello_;
+  std::string tenant_;
+  /// When the session's key was removed.
+  std::optional<Time> key_removed_;
   const SessionCallbacks& callbacks_;
   TimerService& timers_;
   GatewayOutbox& out_;
--- a/kingcuplock/gateway/statement_task.h
+++ b/kingcuplock/gateway/statement_task.h
@@ -79,6 +79,8 @@
 /// between the session and the queues of the group.
 struct StatementTask {
   ConnectionId client = 0;
+  /// Tenant of the client, empty for none.
+  std::string tenant;
   SessionStatement statement;
   /// For an execution: the prepared statement to run.
   std::optional<PreparedStatement> prepared;
--- a/kingcuplock/schema/codec.cc
+++ b/kingcuplock/schema/codec.cc
@@ -91,10 +91,15 @@
       return nlohmann::json::parse(frame);
     }
     return nlohmann::json::from_cbor(frame.begin(), frame.end());
-  } catch (const nlohmann::json::exception& ex) {
-    throw SchemaError("frame", std::string("cannot be decoded; send CBOR in "
-                                           "binary or JSON in text frames: ") +
-                                   ex.what());
+  } catch (const nlohmann::json::parse_error& ex) {
+    // The library's text quotes the input, which may hold a secret.
+    throw SchemaError("frame",
+                      "cannot be decoded at byte " + std::to_string(ex.byte) +
+                          "; send CBOR in binary or JSON in text frames");
+  } catch (const nlohmann::json::exception&) {
+    throw SchemaError("frame",
+                      "cannot be decoded; send CBOR in binary or JSON in text "
+                      "frames");
   }
 }
 
--- a/kingcuplock/schema/messages.cc
+++ b/kingcuplock/schema/messages.cc
@@ -433,6 +433,7 @@
   internal::WriteOptional(out, "target_ms", value.target_ms,
                           kDefaults.target_ms);
   internal::WriteOptional(out, "priority", value.priority, kDefaults.priority);
+  internal::WriteOptional(out, "keyless", value.keyless, kDefaults.keyless);
 }
 
 void from_json(const nlohmann::json& in, RouteConfig& value) {
@@ -448,6 +449,28 @@
                          internal::kMilliseconds);
   internal::ReadOptional(in, "priority", value.priority,
                          internal::kWholeNumber);
+  internal::ReadOptional(in, "keyless", value.keyless);
+}
+
+void to_json(nlohmann::json& out, const TenantConfig& value) {
+  out = nlohmann::json::object();
+  static const TenantConfig kDefaults;
+  out["name"] = value.name;
+  internal::WriteOptional(out, "key_digests", value.key_digests,
+                          kDefaults.key_digests);
+  internal::WriteOptional(out, "limited", value.limited, kDefaults.limited);
+  internal::WriteOptional(out, "rate_per_s", value.rate_per_s,
+                          kDefaults.rate_per_s);
+  internal::WriteOptional(out, "burst", value.burst, kDefaults.burst);
+}
+
+void from_json(const nlohmann::json& in, TenantConfig& value) {
+  internal::RequireObject(in, "TenantConfig");
+  internal::ReadRequired(in, "name", value.name);
+  internal::ReadOptional(in, "key_digests", value.key_digests);
+  internal::ReadOptional(in, "limited", value.limited);
+  internal::ReadOptional(in, "rate_per_s", value.rate_per_s);
+  internal::ReadOptional(in, "burst", value.burst);
 }
 
 void to_json(nlohmann::json& out, const GroupConfig& value) {
@@ -478,6 +501,11 @@
   internal::WriteOptional(out, "groups", value.groups, kDefaults.groups);
   internal::WriteOptional(out, "transaction_idle_ms", value.transaction_idle_ms,
                           kDefaults.transaction_idle_ms);
+  internal::WriteOptional(out, "checks_keys", value.checks_keys,
+                          kDefaults.checks_keys);
+  internal::WriteOptional(out, "tenants", value.tenants, kDefaults.tenants);
+  internal::WriteOptional(out, "rejected_tenants", value.rejected_tenants,
+                          kDefaults.rejected_tenants);
 }
 
 void from_json(const nlohmann::json& in, RouteTable& value) {
@@ -487,6 +515,9 @@
   internal::ReadOptional(in, "groups", value.groups);
   internal::ReadOptional(in, "transaction_idle_ms", value.transaction_idle_ms,
                          internal::kMilliseconds);
+  internal::ReadOptional(in, "checks_keys", value.checks_keys);
+  internal::ReadOptional(in, "tenants", value.tenants);
+  internal::ReadOptional(in, "rejected_tenants", value.rejected_tenants);
 }
 
 void to_json(nlohmann::json& out, const EndpointEntry& value) {
--- a/kingcuplock/schema/messages.h
+++ b/kingcuplock/schema/messages.h
@@ -437,6 +437,8 @@
   std::int64_t target_ms{200};
   /// Priority under load; 0 is served first.
   std::int64_t priority{5};
+  /// Whether clients need no key.
+  bool keyless{};
 
   auto operator==(const RouteConfig&) const -> bool = default;
 };
@@ -448,6 +450,30 @@
 /// wrong.
 void from_json(const nlohmann::json& in, RouteConfig& value);
 
+/// A tenant: a set of clients that share keys and a limit.
+struct TenantConfig {
+  /// Tenant name, which members are told.
+  std::string name{};
+  /// SHA-256 digests of its keys, in hexadecimal.
+  std::vector<std::string> key_digests{};
+  /// Whether the number of its operations is limited.
+  bool limited{};
+  /// If it is limited: operations that it may begin per second, over all
+  /// instances.
+  double rate_per_s{};
+  /// If it is limited: operations that it may begin at once beyond its rate.
+  double burst{};
+
+  auto operator==(const TenantConfig&) const -> bool = default;
+};
+
+/// Writes `value` to `out`, leaving out members that have their default.
+void to_json(nlohmann::json& out, const TenantConfig& value);
+
+/// Reads `value`. Throws SchemaError naming the member that is missing or
+/// wrong.
+void from_json(const nlohmann::json& in, TenantConfig& value);
+
 /// Limits of one group of members.
 struct GroupConfig {
   /// Group name.
@@ -478,6 +504,12 @@
   std::vector<GroupConfig> groups{};
   /// Idle time in ms after which a transaction may be rolled back.
   std::int64_t transaction_idle_ms{3000};
+  /// Whether clients need the key of a tenant.
+  bool checks_keys{};
+  /// Tenants; used if keys are checked.
+  std::vector<TenantConfig> tenants{};
+  /// Why tenants of the operators' configuration were left out.
+  std::vector<std::string> rejected_tenants{};
 
   auto operator==(const RouteTable&) const -> bool = default;
 };
--- a/kingcuplock/schema/settings.h
+++ b/kingcuplock/schema/settings.h
@@ -114,6 +114,9 @@
   bool promotions_fenced{false};
   /// Time in ms after which a leaving member gets no new work.
   std::int64_t leaving_ms{7000};
+  /// Time in ms within which a new route table must be in use on every
+  /// instance.
+  std::int64_t routes_propagation_ms{3000};
   /// Timings of this instance.
   TimingSettings timing{};
 
--- a/kingcuplock/schema/value_check.cc
+++ b/kingcuplock/schema/value_check.cc
@@ -15,6 +15,8 @@
 /// Largest number of statements that a member may run at once, and of
 /// connections that it may accept.
 constexpr std::int64_t kMaxMemberCapacity = 1'000'000;
+/// Largest limit of a tenant, in operations per second, and largest burst.
+constexpr double kMaxRate = 1e9;
 
 /// Throws SchemaError unless the text is a word. Names are sent to members on
 /// lines whose fields are separated by blanks.
@@ -61,6 +63,20 @@
   CheckNotNegative("sequence", entry.sequence);
 }
 
+auto CheckTenant(const TenantConfig& tenant) -> void {
+  CheckWord("name", tenant.name);
+  for (const auto& it : tenant.key_digests) {
+    CheckWord("key_digests", it);
+  }
+  for (const auto value : {tenant.rate_per_s, tenant.burst}) {
+    if (!(value >= 0 && value <= kMaxRate)) {
+      throw SchemaError("rate_per_s",
+                        fmt::format("and burst must be from 0 to {}, not {}",
+                                    kMaxRate, value));
+    }
+  }
+}
+
 auto CheckRouteTable(const RouteTable& table) -> void {
   CheckNotNegative("version", table.version);
   CheckNotNegative("transaction_idle_ms", table.transaction_idle_ms);
@@ -72,6 +88,9 @@
     CheckNotNegative("target_ms", it.target_ms);
     CheckNotNegative("priority", it.priority);
   }
+  for (const auto& it : table.tenants) {
+    CheckTenant(it);
+  }
   for (const auto& it : table.groups) {
     CheckWord("name", it.name);
     CheckCapacity("connections", it.connections);
--- a/kingcuplock/schema/value_check.h
+++ b/kingcuplock/schema/value_check.h
@@ -16,8 +16,12 @@
 /// at least one slot.
 auto CheckEndpoint(const EndpointEntry& entry) -> void;
 
-/// Throws SchemaError unless every route and group has a name that is a word,
-/// and limits that can be used.
+/// Throws SchemaError unless the tenant's name is a word, and its digests and
+/// limit can be used.
+auto CheckTenant(const TenantConfig& tenant) -> void;
+
+/// Throws SchemaError unless every route, tenant and group has a name that is a
+/// word, and limits that can be used.
 auto CheckRouteTable(const RouteTable& table) -> void;
 
 }  // namespace kingcuplock
--- a/kingcuplock/statement/statement.h
+++ b/kingcuplock/statement/statement.h
@@ -152,7 +152,8 @@
 /// First message of a client's session.
 struct ClientHello {
   std::string database;
-  std::string user;
+  /// Digest of the client's key, see DigestOfKey(); empty if it sent none.
+  std::string key_digest;
 };
 
 /// Message by which a client ends its session in an orderly way.
--- a/standin/statements/statement_group.cc
+++ b/standin/statements/statement_group.cc
@@ -132,7 +132,8 @@
 auto StatementGroup::Connect(const std::string& member,
                              std::string_view group,
                              std::string_view expected,
-                             Time now) -> ConnectResult {
+                             Time now,
+                             std::string_view tenant) -> ConnectResult {
   AdvanceTo(now);
   if (group != name_ || expected != member) {
     return {0,
@@ -147,6 +148,7 @@
   }
   const auto id = ++last_session_;
   sessions_[id].member = member;
+  sessions_[id].tenant = tenant;
   StatementAnswer answer;
   answer.place = PositionAfter(members_.at(member).applied);
   return {id, answer};
@@ -297,7 +299,8 @@
                             const std::string& shape,
                             Time now) -> void {
   runs_.push_back({statement.id, session.member, statement.kind, now,
-                   members_.at(session.member).applied, session.values, shape});
+                   members_.at(session.member).applied, session.values, shape,
+                   session.tenant});
 }
 
 auto StatementGroup::MakeReport(const std::string& member) const
--- a/standin/statements/statement_group.h
+++ b/standin/statements/statement_group.h
@@ -55,6 +55,8 @@
   std::map<std::string, std::string> values;
   /// Content of the prepared statement that was executed, empty for none.
   std::string shape;
+  /// Tenant that the connection was opened for.
+  std::string tenant;
 };
 
 /// A commit with writes.
@@ -87,11 +89,13 @@
   };
 
   /// Opens a session at a member, which must be up. Refuses it if the member
-  /// isn't `expected` of group `group`, or has too many connections.
+  /// isn't `expected` of group `group`, or has too many connections. What the
+  /// session runs is recorded with `tenant`.
   auto Connect(const std::string& member,
                std::string_view group,
                std::string_view expected,
-               Time now) -> ConnectResult;
+               Time now,
+               std::string_view tenant = {}) -> ConnectResult;
 
   /// Runs a statement of a session.
   auto Handle(std::int64_t session, const SessionStatement& statement, Time now)
@@ -166,6 +170,7 @@
   };
   struct Session {
     std::string member;
+    std::string tenant;
     std::map<std::string, std::string> values;
     /// Prepared statements by name: whether they write, and their content.
     std::map<std::string, std::pair<bool, std::string>> prepared;
--- a/testing/gateway_fixture.cc
+++ b/testing/gateway_fixture.cc
@@ -1,8 +1,11 @@
 #include "testing/gateway_fixture.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 #include "kingcuplock/schema/codec.h"
+#include "kingcuplock/tenants/key_digest.h"
 
 namespace kingcuplock {
 namespace {
@@ -58,6 +61,8 @@
   for (std::size_t n = 0; n < routes; ++n) {
     add(fmt::format("db-{}", n), ReadMode::kBounded);
   }
+  table.checks_keys = !options_.tenants.empty();
+  table.tenants = options_.tenants;
   table.groups.push_back({"g0", options_.group.connections, 0});
   newest_routes_ = EncodeJson(table, FrameFormat::kJson);
   store_.Put(std::string(kRoutesKey), newest_routes_);
@@ -246,18 +251,26 @@
 // ----------------------------------------------------------------- clients
 
 auto GatewayFixture::OpenClient(std::size_t gateway,
-                                const std::string& database) -> std::size_t {
+                                const std::string& database,
+                                const std::string& key) -> std::size_t {
   const auto connection = ++last_client_connection_ | kInboundBit;
   Client client;
   client.gateway = gateway;
   client.incarnation = nodes_.at(gateway)->incarnation;
   client.connection = connection;
   client.database = database;
+  for (const auto& it : options_.tenants) {
+    if (std::find(it.key_digests.begin(), it.key_digests.end(),
+                  DigestOfKey(key)) != it.key_digests.end()) {
+      client.tenant = it.name;
+    }
+  }
   client.open = true;
   clients_.push_back(client);
   client_by_connection_[connection] = clients_.size() - 1;
-  RunAfter(options_.delay, gateway, [this, gateway, connection, database] {
-    nodes_[gateway]->gateway->OnClientHello(connection, {database, "user"});
+  RunAfter(options_.delay, gateway, [this, gateway, connection, database, key] {
+    nodes_[gateway]->gateway->OnClientHello(connection,
+                                            {database, DigestOfKey(key)});
   });
   return clients_.size() - 1;
 }
@@ -327,10 +340,14 @@
 auto GatewayFixture::OnAnswer(const AnswerClient& answer, std::size_t node)
     -> void {
   const auto it = client_by_connection_.find(answer.client);
-  if (it == client_by_connection_.end() || answer.answers_hello) {
+  if (it == client_by_connection_.end()) {
     return;
   }
   auto& client = clients_[it->second];
+  if (answer.answers_hello) {
+    client.hello_error = answer.answer.error;
+    return;
+  }
   if (client.gateway != node || client.unanswered.empty()) {
     return;
   }
--- a/testing/gateway_fixture.h
+++ b/testing/gateway_fixture.h
@@ -53,6 +53,8 @@
   std::int64_t max_age_ms = 1500;
   std::int64_t timeout_ms = 800;
   std::int64_t target_ms = 100;
+  /// Tenants of the first route table; keys are checked if there are any.
+  std::vector<TenantConfig> tenants = {};
 };
 
 /// A statement that a client sent, and its answer.
@@ -84,9 +86,15 @@
 
   // Clients.
 
-  /// Connects a client and returns its number.
-  auto OpenClient(std::size_t gateway, const std::string& database)
-      -> std::size_t;
+  /// Connects a client that sends `key` and returns its number.
+  auto OpenClient(std::size_t gateway,
+                  const std::string& database,
+                  const std::string& key = "") -> std::size_t;
+  /// Returns the error with which the client's hello was answered; nullopt if
+  /// there is no answer yet.
+  auto HelloError(std::size_t client) const -> std::optional<StatementError> {
+    return clients_.at(client).hello_error;
+  }
   /// Sends a statement and returns its number, which is its index in
   /// client_statements().
   auto SendClientStatement(std::size_t client, SessionStatement statement)
@@ -132,6 +140,12 @@
   /// Writes a route table to the store that has the databases' three routes and
   /// `routes` more. `version` must be higher than the last.
   auto ChangeRoutes(std::int64_t version, std::size_t routes) -> void;
+  /// Replaces the tenants in the store by a new version of the route table.
+  auto ChangeTenants(std::int64_t version, std::vector<TenantConfig> tenants)
+      -> void {
+    options_.tenants = std::move(tenants);
+    ChangeRoutes(version, 0);
+  }
   /// Delays watch events of the store to gateway number N by N times `delay`.
   auto SetStoreDelayPerGateway(Duration delay) -> void {
     store_delay_per_gateway_ = delay;
@@ -254,6 +268,9 @@
     std::int64_t incarnation = 0;
     ConnectionId connection = 0;
     std::string database;
+    /// Tenant that held the client's key when it connected.
+    std::string tenant;
+    std::optional<StatementError> hello_error;
     /// Numbers of the statements without an answer, in order.
     std::vector<std::size_t> unanswered;
     std::optional<Time> transaction_began;
--- a/testing/gateway_fixture_actions.cc
+++ b/testing/gateway_fixture_actions.cc
@@ -256,8 +256,9 @@
         !group_.IsUp(it->second.member)) {
       return;
     }
-    const auto connected = group_.Connect(it->second.member, hello.group,
-                                          hello.member, timers_.Now());
+    const auto connected =
+        group_.Connect(it->second.member, hello.group, hello.member,
+                       timers_.Now(), hello.tenant);
     it->second.session = connected.session;
     nodes_[node]->gateway->OnMemberAnswer(hello.link, connected.answer);
   });
--- a/testing/gateway_fixture_checks.cc
+++ b/testing/gateway_fixture_checks.cc
@@ -134,6 +134,11 @@
       continue;
     }
     const auto& sent = *found->second;
+    if (run.tenant != clients_.at(sent.client).tenant) {
+      violations.push_back(fmt::format(
+          "{} of a client of tenant \"{}\" ran in the name of \"{}\"", run.id,
+          clients_.at(sent.client).tenant, run.tenant));
+    }
     if (run.values != sent.values) {
       violations.push_back(fmt::format(
           "{} ran with session values other than its client's", run.id));
