Quotas: a tenant's operations are counted over all instances, by tokens that one instance lends

Ruled out: shares by heartbeats (under one operation for small tenants), counters told to everybody; see docs/design/quotas.md. Change: module quota (budget, bucket, lender, borrower, exchange), wired into sessions; heartbeats tell of the store and the lenders.

--- a/kingcuplock/actions/outbox.h
+++ b/kingcuplock/actions/outbox.h
@@ -56,6 +56,8 @@
                                      GrantGiven,
                                      StepDown,
                                      SteppedDown,
+                                     QuotaWanted,
+                                     QuotaGiven,
                                      MemberRequest,
                                      StoreCall>;
 
--- a/kingcuplock/gateway/gateway.cc
+++ b/kingcuplock/gateway/gateway.cc
@@ -48,6 +48,22 @@
       shell_(shell),
       store_(settings_.store, settings_.timing, timers, shell),
       routes_(shell, [this] { OnRoutesChanged(); }),
+      quotas_(
+          settings_.instance,
+          QuotaLimits{Milliseconds(settings_.quota_window_ms),
+                      settings_.quota_overshoot, settings_.quota_slack},
+          timers,
+          {[this](const std::string& to, const QuotaWanted& wanted) {
+             return peers_.Send(to, wanted);
+           },
+           [this](const std::string& it) {
+             return peers_.IsUp(it)        ? PeerState::kUp
+                    : peers_.IsRefused(it) ? PeerState::kGone
+                                           : PeerState::kUnreachable;
+           },
+           [this] { return store_.LastContact(); },
+           [this] { return duty_ownership_.LeaseValidUntil() > timers_.Now(); },
+           [this] { return QuotaPeers(); }}),
       endpoints_(timers, [this] { OnEndpointsChanged(); }),
       duty_ownership_(
           names_,
@@ -98,6 +114,10 @@
           [this] { return Milliseconds(routes_.table().transaction_idle_ms); },
           [this] { return PhaseOfOwnStop(); },
           [this](ConnectionId client) { CloseIfIdle(client); },
+          [this](const std::string& tenant, QuotaCallback callback) {
+            Admit(tenant, std::move(callback));
+          },
+          [this](const std::string& tenant) { quotas_.NoteRepeat(tenant); },
           [this] {
             return Milliseconds(settings_.routes_propagation_ms) /
                    kTransactionTimeDivisor;
@@ -257,13 +277,7 @@
 }
 
 auto Gateway::OnRoutesChanged() -> void {
-  tenants_.SetTable(routes_.table());
-  for (const auto& it : routes_.table().rejected_tenants) {
-    shell_.Log(Event::kTenantRejected,
-               {{"routes_version", std::to_string(routes_.table().version)},
-                {"reason", it}});
-  }
-  CheckSessionKeys();
+  ApplyTenants();
   std::vector<std::string> names;
   for (const auto& it : routes_.table().groups) {
     names.push_back(it.name);
@@ -339,7 +353,10 @@
 
 auto Gateway::OnInstanceItem(const StoreItem& item, bool deleted) -> void {
   if (deleted) {
-    instances_.erase(item.key);
+    if (const auto it = instances_.find(item.key); it != instances_.end()) {
+      instances_removed_[it->second.name] = timers_.Now();
+      instances_.erase(it);
+    }
   } else {
     try {
       instances_[item.key] =
@@ -350,6 +367,7 @@
       return;
     }
   }
+  ApplyLenders();
   SchedulePeerUpdate();
 }
 
@@ -367,7 +385,8 @@
   });
 }
 
-// Connects to the chosen peers. Without fencing tokens, this instance also
+// Connects to the chosen peers, and to the lenders of tenants' operations.
+// Without fencing tokens, this instance also
 // needs the holders of promotion duties, to ask them for grants, and the former
 // holders of its own duties, to ask them to step down.
 auto Gateway::UpdatePeers() -> void {
@@ -386,6 +405,9 @@
       }
     }
   }
+  for (const auto& it : quotas_.Lenders()) {
+    wanted.insert(it);
+  }
   for (const auto& it : chosen) {
     wanted.erase(it.name);
   }
@@ -422,6 +444,8 @@
     out.waiting += group->CountWaitingTasks();
     group->AddMemberGauges(out.members);
   }
+  out.tenants = quotas_.Uses();
+  out.quota_messages = quotas_.message_counts();
   out.routes_version = routes_.table().version;
   out.peers = peers_.LiveInstances().size() - 1;
   out.ready = last_ready_;
--- a/kingcuplock/gateway/gateway.h
+++ b/kingcuplock/gateway/gateway.h
@@ -34,6 +34,7 @@
 #include "kingcuplock/gateway/session.h"
 #include "kingcuplock/membership/peer_links.h"
 #include "kingcuplock/ownership/ownership_keeper.h"
+#include "kingcuplock/quota/quota_exchange.h"
 #include "kingcuplock/schema/messages.h"
 #include "kingcuplock/schema/settings.h"
 #include "kingcuplock/store_client/store_client.h"
@@ -61,6 +62,9 @@
   /// Answer to the last readiness probe.
   bool ready = false;
   std::vector<MemberGauge> members;
+  /// What became of the operations of limited tenants.
+  std::vector<TenantUse> tenants;
+  QuotaMessageCounts quota_messages;
 };
 
 /// Callbacks that feed the metrics.
@@ -148,6 +152,12 @@
   auto ReadRoutesForUnknownKeys() -> void;
   auto DecideUnknownKeys() -> void;
   auto CheckSessionKeys() -> void;
+  auto ApplyTenants() -> void;
+  auto ApplyLenders() -> void;
+  auto Admit(const std::string& tenant, QuotaCallback callback) -> void;
+  auto NoteQuotaRefusal(const std::string& tenant) -> void;
+  auto QuotaPeers() const -> std::vector<QuotaPeer>;
+  auto WatchQuotaNews() -> void;
   auto RefuseClient(ConnectionId client,
                     const ClientHello& hello,
                     StatementAnswer answer) -> void;
@@ -219,6 +229,22 @@
   ActiveRouteTable routes_;
   TenantDirectory tenants_;
   UnknownKeyLookup unknown_keys_;
+  QuotaExchange quotas_;
+  /// What peers said of themselves in their last heartbeats, for quotas.
+  std::map<std::string, QuotaPeer> quota_peers_;
+  /// Instances whose registration ended a moment ago, and when.
+  std::map<std::string, Time> instances_removed_;
+  /// Refusals of each tenant since the last line about them, and when that was
+  /// written.
+  struct QuotaRefusals {
+    std::uint64_t count = 0;
+    std::optional<Time> logged;
+  };
+  std::map<std::string, QuotaRefusals> quota_refusals_;
+  /// What heartbeats said last about this instance, and whether a timer checks
+  /// for changes.
+  std::pair<bool, std::int64_t> quota_news_told_;
+  bool watching_quota_news_ = false;
   EndpointDirectory endpoints_;
   OwnershipKeeper duty_ownership_;
   PeerLinks peers_;
--- a/kingcuplock/gateway/gateway_peers.cc
+++ b/kingcuplock/gateway/gateway_peers.cc
@@ -70,6 +70,10 @@
     OnGrantWanted(source, *grant);
   } else if (const auto* told = std::get_if<StepDown>(&message)) {
     OnStepDown(source, *told);
+  } else if (const auto* quota = std::get_if<QuotaWanted>(&message)) {
+    quotas_.OnWanted(*quota, [this, source](const QuotaGiven& given) {
+      shell_.Send(source, given);
+    });
   } else {
     shell_.Log(
         Event::kFrameRejected,
@@ -90,6 +94,8 @@
     }
   } else if (const auto* told = std::get_if<SteppedDown>(&message)) {
     OnSteppedDown(*told);
+  } else if (const auto* loans = std::get_if<QuotaGiven>(&message)) {
+    quotas_.OnGiven(*loans);
   }
 }
 
@@ -142,6 +148,11 @@
   out.leaving = stopping_since_.has_value();
   out.routes_version = routes_.table().version;
   out.endpoints_known = static_cast<std::int64_t>(endpoints_.Size());
+  out.store_reachable = store_.IsReachable();
+  out.store_contact_ms = std::chrono::duration_cast<Milliseconds>(
+                             timers_.Now() - store_.LastContact())
+                             .count();
+  out.lenders_hash = quotas_.LendersHash();
   std::erase_if(group_state_shared_until_,
                 [this](const auto& it) { return it.second < timers_.Now(); });
   std::set<std::string> names;
@@ -162,6 +173,10 @@
 // Takes the reports in a peer's heartbeat. Returns whether the peer has a newer
 // route table, or members' entries that this instance lacks.
 auto Gateway::NoteHeartbeat(const Heartbeat& heartbeat) -> bool {
+  quota_peers_[heartbeat.instance] = {
+      heartbeat.instance, heartbeat.store_reachable,
+      timers_.Now() - Milliseconds(heartbeat.store_contact_ms),
+      heartbeat.lenders_hash};
   for (const auto& it : heartbeat.groups) {
     peer_reports_[heartbeat.instance][it.group] = {it, timers_.Now()};
     if (auto* group = FindGroup(it.group)) {
--- a/kingcuplock/gateway/gateway_tenants.cc
+++ b/kingcuplock/gateway/gateway_tenants.cc
@@ -1,11 +1,119 @@
-// Clients' keys: which tenant a client belongs to, clients whose key is
-// unknown, and sessions whose key is removed.
+// Clients' keys and tenants' limits: which tenant a client belongs to, clients
+// whose key is unknown, sessions whose key is removed, and what the exchange of
+// operations needs to know.
 
 #include <utility>
 
+#include <fmt/format.h>
+
 #include "kingcuplock/gateway/gateway.h"
 
 namespace kingcuplock {
+namespace {
+
+/// Time in ms for which an instance stays a lender after its registration
+/// ended. After an outage of the store, all registrations may end and begin
+/// again.
+constexpr Milliseconds kLenderGrace{700};
+/// Shortest time in ms between two log lines about a tenant's refusals.
+constexpr Milliseconds kRefusalLogInterval{1000};
+/// Interval in ms of the check whether peers have to be told at once that this
+/// instance lost or reached the store, or has another list of lenders.
+constexpr Milliseconds kQuotaNewsInterval{100};
+
+}  // namespace
+
+auto Gateway::ApplyTenants() -> void {
+  tenants_.SetTable(routes_.table());
+  for (const auto& it : routes_.table().rejected_tenants) {
+    shell_.Log(Event::kTenantRejected,
+               {{"routes_version", std::to_string(routes_.table().version)},
+                {"reason", it}});
+  }
+  quotas_.SetTenants(tenants_.tenants());
+  CheckSessionKeys();
+  SchedulePeerUpdate();
+  if (!tenants_.tenants().empty()) {
+    WatchQuotaNews();
+  }
+}
+
+auto Gateway::ApplyLenders() -> void {
+  std::set<std::string> names;
+  for (const auto& [key, entry] : instances_) {
+    names.insert(entry.name);
+  }
+  std::erase_if(instances_removed_, [&](const auto& it) {
+    return timers_.Now() - it.second >= kLenderGrace ||
+           names.contains(it.first);
+  });
+  for (const auto& [name, removed] : instances_removed_) {
+    names.insert(name);
+  }
+  if (!instances_removed_.empty()) {
+    timers_.After(kLenderGrace, [this] { ApplyLenders(); });
+  }
+  quotas_.SetInstances(std::vector<std::string>(names.begin(), names.end()));
+}
+
+// Peers that are told late would ask a former lender, or lend as one.
+auto Gateway::WatchQuotaNews() -> void {
+  if (std::exchange(watching_quota_news_, true)) {
+    return;
+  }
+  timers_.After(kQuotaNewsInterval, [this] {
+    watching_quota_news_ = false;
+    const std::pair news(store_.IsReachable(), quotas_.LendersHash());
+    if (std::exchange(quota_news_told_, news) != news) {
+      SendHeartbeats();
+    }
+    if (!tenants_.tenants().empty()) {
+      WatchQuotaNews();
+    }
+  });
+}
+
+auto Gateway::QuotaPeers() const -> std::vector<QuotaPeer> {
+  std::vector<QuotaPeer> out;
+  for (const auto& [name, it] : quota_peers_) {
+    if (peers_.IsUp(name)) {
+      out.push_back(it);
+    }
+  }
+  return out;
+}
+
+auto Gateway::Admit(const std::string& tenant, QuotaCallback callback) -> void {
+  if (!quotas_.IsLimited(tenant)) {
+    callback({.admitted = true});
+    return;
+  }
+  quotas_.Begin(tenant, [this, tenant, callback = std::move(callback)](
+                            const QuotaDecision& decision) {
+    if (!decision.admitted) {
+      NoteQuotaRefusal(tenant);
+    }
+    callback(decision);
+  });
+}
+
+auto Gateway::NoteQuotaRefusal(const std::string& tenant) -> void {
+  auto& refusals = quota_refusals_[tenant];
+  ++refusals.count;
+  if (refusals.logged &&
+      timers_.Now() - *refusals.logged < kRefusalLogInterval) {
+    return;
+  }
+  refusals.logged = timers_.Now();
+  const auto* it = tenants_.FindByName(tenant);
+  shell_.Log(
+      Event::kQuotaExceeded,
+      {{"tenant", tenant},
+       {"refused", std::to_string(std::exchange(refusals.count, 0))},
+       {"rate_per_s", it == nullptr ? "" : fmt::format("{:g}", it->rate_per_s)},
+       {"burst", it == nullptr ? "" : fmt::format("{:g}", it->burst)},
+       {"routes_version", std::to_string(routes_.table().version)}});
+}
 
 /// Returns the tenant of a client, empty if it needs none; nullopt if its key
 /// is unknown.
--- a/kingcuplock/gateway/group.cc
+++ b/kingcuplock/gateway/group.cc
@@ -718,6 +718,9 @@
       !retry_budget_.TryTake()) {
     return;
   }
+  if (task->on_repeat) {
+    task->on_repeat();
+  }
   if (task->access == StatementAccess::kReplicaRead && !SetReadFloor(task)) {
     return;
   }
--- a/kingcuplock/gateway/group_outcome.cc
+++ b/kingcuplock/gateway/group_outcome.cc
@@ -185,6 +185,11 @@
     return;
   }
   LogTask(Event::kAttemptWithoutEffect, *task, member, ToString(retry_reason));
+  const auto may_have_run = retry_reason == RetryReason::kFailed ||
+                            retry_reason == RetryReason::kLinkLost;
+  if (may_have_run && task->on_repeat) {
+    task->on_repeat();
+  }
   if (task->running_attempts > 0) {
     // Another attempt is under way; its result counts.
     return;
--- a/kingcuplock/gateway/session.cc
+++ b/kingcuplock/gateway/session.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <fmt/format.h>
+
 namespace kingcuplock {
 namespace {
 
@@ -368,8 +370,30 @@
   }
   task->on_finished = guard_.Bind(
       [this](StatementTaskResult result) { OnTaskDone(std::move(result)); });
+  task->on_repeat = guard_.Bind([this] { callbacks_.note_repeat(tenant_); });
   task_ = task;
-  group->Submit(task);
+  callbacks_.admit(tenant_, guard_.Bind([this, task](const QuotaDecision& it) {
+    OnQuotaDecided(task, it);
+  }));
+}
+
+auto Session::OnQuotaDecided(const StatementTaskPtr& task,
+                             const QuotaDecision& decision) -> void {
+  if (task->done) {
+    return;
+  }
+  auto* group = callbacks_.group(route_.group);
+  if (decision.admitted && group != nullptr) {
+    group->Submit(task);
+    return;
+  }
+  task_ = nullptr;
+  task->done = true;
+  AnswerError(StatementError::kBusy,
+              decision.admitted
+                  ? "the group of the route is not known yet"
+                  : fmt::format("{}; retry after {} ms", decision.reason,
+                                decision.retry_after_ms));
 }
 
 auto Session::OnTaskDone(StatementTaskResult result) -> void {
--- a/kingcuplock/gateway/session.h
+++ b/kingcuplock/gateway/session.h
@@ -22,6 +22,7 @@
 #include "kingcuplock/gateway/gateway_outbox.h"
 #include "kingcuplock/gateway/group.h"
 #include "kingcuplock/gateway/statement_task.h"
+#include "kingcuplock/quota/quota_borrower.h"
 #include "kingcuplock/schema/messages.h"
 #include "kingcuplock/statement/session_state.h"
 #include "kingcuplock/statement/statement.h"
@@ -41,6 +42,11 @@
   /// Asks for the session to be closed if it is idle, because of the stop or
   /// because its key is no longer valid. It is closed from the event loop.
   std::function<void(ConnectionId client)> close_when_idle;
+  /// Decides whether an operation of a tenant may begin, and calls back at once
+  /// or within a fraction of a second.
+  std::function<void(const std::string& tenant, QuotaCallback)> admit;
+  /// Notes that a statement of a tenant's operation runs once more.
+  std::function<void(const std::string& tenant)> note_repeat;
   /// Returns the time that a transaction has to end after the session's key was
   /// removed.
   std::function<Duration()> transaction_time_without_key;
@@ -111,6 +117,8 @@
   auto RunAtMember(SessionStatement statement) -> void;
   auto Submit(SessionStatement statement,
               std::optional<PreparedStatement> prepared) -> void;
+  auto OnQuotaDecided(const StatementTaskPtr& task,
+                      const QuotaDecision& decision) -> void;
   auto OnTaskDone(StatementTaskResult result) -> void;
   auto RunPinned(SessionStatement statement,
                  std::optional<PreparedStatement> prepared) -> void;
@@ -149,7 +157,8 @@
   SessionStatement current_;
   Time current_started_{};
   RouteConfig route_;
-  /// The running statement, while a group looks for a member to run it.
+  /// The running statement, while its tenant's room is asked for or a group
+  /// looks for a member to run it.
   StatementTaskPtr task_;
   /// The open transaction's connection, once a member has begun it.
   PinnedConnection pinned_;
--- a/kingcuplock/gateway/statement_task.h
+++ b/kingcuplock/gateway/statement_task.h
@@ -105,6 +105,9 @@
   Time send_by{};
   /// Called once with the result, unless the task is cancelled.
   std::function<void(StatementTaskResult)> on_finished;
+  /// Called when the statement is offered to a member again though one may have
+  /// run it. May be empty.
+  std::function<void()> on_repeat;
 
   // Progress.
   /// Members that refused this task or failed to run it.
--- a/kingcuplock/membership/peer_links.cc
+++ b/kingcuplock/membership/peer_links.cc
@@ -8,6 +8,9 @@
 
 /// Pause before a link that was lost is opened again.
 constexpr Milliseconds kReconnectPause{100};
+/// Time in ms within which a failed attempt to open a link means that nobody
+/// listens at the peer's address: several round trips between data centres.
+constexpr Milliseconds kRefusalTime{250};
 /// Silence after which a peer that is not listed is removed.
 constexpr Milliseconds kUnlistedPeerExpiry{10'000};
 
@@ -120,6 +123,7 @@
 
 void PeerLinks::Connect(Peer& peer) {
   peer.open = false;
+  peer.connecting_since = timers_.Now();
   peer.connection =
       outbox_.Open(ConnectionKind::kPeer, peer.address.host, peer.address.port,
                    static_cast<int>(timing_.peer_timeout_ms));
@@ -193,6 +197,11 @@
   return it != peers_.end() && it->second.open && it->second.has_answered;
 }
 
+auto PeerLinks::IsRefused(std::string_view peer) const -> bool {
+  const auto it = peers_.find(peer);
+  return it != peers_.end() && it->second.refused;
+}
+
 auto PeerLinks::LiveInstances() const -> std::vector<std::string> {
   std::vector<std::string> live{self_};
   for (const auto& [name, peer] : peers_) {
@@ -214,6 +223,7 @@
     return false;
   }
   peer->open = true;
+  peer->refused = false;
   peer->last_heard = timers_.Now();
   outbox_.Send(connection, callbacks_.make_heartbeat());
   return true;
@@ -225,6 +235,8 @@
     return false;
   }
   by_connection_.erase(connection);
+  peer->refused =
+      !peer->open && timers_.Now() - peer->connecting_since < kRefusalTime;
   OnLinkLost(*peer);
   return true;
 }
--- a/kingcuplock/membership/peer_links.h
+++ b/kingcuplock/membership/peer_links.h
@@ -89,6 +89,10 @@
   /// within the peer timeout.
   auto IsUp(std::string_view peer) const -> bool;
 
+  /// Returns whether the last attempt to open the link failed at once, so that
+  /// the peer's process has ended or not started yet.
+  auto IsRefused(std::string_view peer) const -> bool;
+
   /// Returns the names of this instance and of the live peers. A peer is live
   /// if it answers heartbeats and neither it nor the list says that it is
   /// leaving.
@@ -111,6 +115,10 @@
     /// Whether the peer's last heartbeat said that it is leaving.
     bool leaving = false;
     Time last_heard{};
+    /// When the last attempt to open the link began, and whether it failed at
+    /// once.
+    Time connecting_since{};
+    bool refused = false;
     /// Address in the platform's list, if the peer is listed.
     std::optional<PeerAddress> listed;
     /// Whether the platform's list says that the peer is leaving.
--- a/kingcuplock/schema/messages.cc
+++ b/kingcuplock/schema/messages.cc
@@ -703,6 +703,76 @@
   internal::ReadOptional(in, "term", value.term, internal::kWholeNumber);
 }
 
+void to_json(nlohmann::json& out, const QuotaWish& value) {
+  out = nlohmann::json::object();
+  out["tenant"] = value.tenant;
+  out["count"] = value.count;
+}
+
+void from_json(const nlohmann::json& in, QuotaWish& value) {
+  internal::RequireObject(in, "QuotaWish");
+  internal::ReadRequired(in, "tenant", value.tenant);
+  internal::ReadRequired(in, "count", value.count,
+                         internal::IntegerRange{0, 1000000});
+}
+
+void to_json(nlohmann::json& out, const QuotaLoan& value) {
+  out = nlohmann::json::object();
+  static const QuotaLoan kDefaults;
+  out["tenant"] = value.tenant;
+  out["count"] = value.count;
+  internal::WriteOptional(out, "lasts_ms", value.lasts_ms, kDefaults.lasts_ms);
+  internal::WriteOptional(out, "room_ms", value.room_ms, kDefaults.room_ms);
+  internal::WriteOptional(out, "retry_ms", value.retry_ms, kDefaults.retry_ms);
+  internal::WriteOptional(out, "overloaded", value.overloaded,
+                          kDefaults.overloaded);
+}
+
+void from_json(const nlohmann::json& in, QuotaLoan& value) {
+  internal::RequireObject(in, "QuotaLoan");
+  internal::ReadRequired(in, "tenant", value.tenant);
+  internal::ReadRequired(in, "count", value.count,
+                         internal::IntegerRange{0, 1000000});
+  internal::ReadOptional(in, "lasts_ms", value.lasts_ms,
+                         internal::kMilliseconds);
+  internal::ReadOptional(in, "room_ms", value.room_ms, internal::kMilliseconds);
+  internal::ReadOptional(in, "retry_ms", value.retry_ms,
+                         internal::kMilliseconds);
+  internal::ReadOptional(in, "overloaded", value.overloaded);
+}
+
+void to_json(nlohmann::json& out, const QuotaWanted& value) {
+  out = nlohmann::json::object();
+  out["type"] = "quota_wanted";
+  static const QuotaWanted kDefaults;
+  out["instance"] = value.instance;
+  out["ask"] = value.ask;
+  internal::WriteOptional(out, "relay", value.relay, kDefaults.relay);
+  internal::WriteOptional(out, "wishes", value.wishes, kDefaults.wishes);
+}
+
+void from_json(const nlohmann::json& in, QuotaWanted& value) {
+  internal::RequireObject(in, "QuotaWanted");
+  internal::ReadRequired(in, "instance", value.instance);
+  internal::ReadRequired(in, "ask", value.ask, internal::kAnyInteger);
+  internal::ReadOptional(in, "relay", value.relay);
+  internal::ReadOptional(in, "wishes", value.wishes);
+}
+
+void to_json(nlohmann::json& out, const QuotaGiven& value) {
+  out = nlohmann::json::object();
+  out["type"] = "quota_given";
+  static const QuotaGiven kDefaults;
+  out["ask"] = value.ask;
+  internal::WriteOptional(out, "loans", value.loans, kDefaults.loans);
+}
+
+void from_json(const nlohmann::json& in, QuotaGiven& value) {
+  internal::RequireObject(in, "QuotaGiven");
+  internal::ReadRequired(in, "ask", value.ask, internal::kAnyInteger);
+  internal::ReadOptional(in, "loans", value.loans);
+}
+
 void to_json(nlohmann::json& out, const OwnershipHint& value) {
   out = nlohmann::json::object();
   static const OwnershipHint kDefaults;
@@ -735,6 +805,12 @@
                           kDefaults.routes_version);
   internal::WriteOptional(out, "endpoints_known", value.endpoints_known,
                           kDefaults.endpoints_known);
+  internal::WriteOptional(out, "store_reachable", value.store_reachable,
+                          kDefaults.store_reachable);
+  internal::WriteOptional(out, "store_contact_ms", value.store_contact_ms,
+                          kDefaults.store_contact_ms);
+  internal::WriteOptional(out, "lenders_hash", value.lenders_hash,
+                          kDefaults.lenders_hash);
   internal::WriteOptional(out, "groups", value.groups, kDefaults.groups);
 }
 
@@ -753,6 +829,11 @@
                          internal::kWholeNumber);
   internal::ReadOptional(in, "endpoints_known", value.endpoints_known,
                          internal::kWholeNumber);
+  internal::ReadOptional(in, "store_reachable", value.store_reachable);
+  internal::ReadOptional(in, "store_contact_ms", value.store_contact_ms,
+                         internal::kMilliseconds);
+  internal::ReadOptional(in, "lenders_hash", value.lenders_hash,
+                         internal::kAnyInteger);
   internal::ReadOptional(in, "groups", value.groups);
 }
 
@@ -1258,11 +1339,17 @@
   if (type == "stepped_down") {
     return in.get<SteppedDown>();
   }
-  throw SchemaError(
-      "type",
-      "unknown frame type; send one of: forward, forward_answer, heartbeat, "
-      "manifest_wanted, manifest_offer, hand_over, routes_wanted, "
-      "routes_offer, grant_wanted, grant_given, step_down, stepped_down");
+  if (type == "quota_wanted") {
+    return in.get<QuotaWanted>();
+  }
+  if (type == "quota_given") {
+    return in.get<QuotaGiven>();
+  }
+  throw SchemaError("type",
+                    "unknown frame type; send one of: forward, forward_answer, "
+                    "heartbeat, manifest_wanted, manifest_offer, hand_over, "
+                    "routes_wanted, routes_offer, grant_wanted, grant_given, "
+                    "step_down, stepped_down, quota_wanted, quota_given");
 }
 
 auto ReadInboundMessage(const nlohmann::json& in) -> InboundMessage {
@@ -1306,11 +1393,14 @@
   if (type == "stepped_down") {
     return in.get<SteppedDown>();
   }
-  throw SchemaError(
-      "type",
-      "unknown frame type; send one of: request, status_query, forward, "
-      "heartbeat, manifest_wanted, manifest_offer, hand_over, routes_wanted, "
-      "routes_offer, grant_wanted, grant_given, step_down, stepped_down");
+  if (type == "quota_wanted") {
+    return in.get<QuotaWanted>();
+  }
+  throw SchemaError("type",
+                    "unknown frame type; send one of: request, status_query, "
+                    "forward, heartbeat, manifest_wanted, manifest_offer, "
+                    "hand_over, routes_wanted, routes_offer, grant_wanted, "
+                    "grant_given, step_down, stepped_down, quota_wanted");
 }
 
 auto ReadStoreReply(const nlohmann::json& in) -> StoreReply {
--- a/kingcuplock/schema/messages.h
+++ b/kingcuplock/schema/messages.h
@@ -722,6 +722,90 @@
 /// wrong.
 void from_json(const nlohmann::json& in, SteppedDown& value);
 
+/// Operations of a tenant for which an instance asks.
+struct QuotaWish {
+  /// Tenant.
+  std::string tenant{};
+  /// Number of operations.
+  std::int64_t count{};
+
+  auto operator==(const QuotaWish&) const -> bool = default;
+};
+
+/// Writes `value` to `out`, leaving out members that have their default.
+void to_json(nlohmann::json& out, const QuotaWish& value);
+
+/// Reads `value`. Throws SchemaError naming the member that is missing or
+/// wrong.
+void from_json(const nlohmann::json& in, QuotaWish& value);
+
+/// Operations of a tenant that an instance may begin.
+struct QuotaLoan {
+  /// Tenant.
+  std::string tenant{};
+  /// Number of operations; may be less than asked for, or 0.
+  std::int64_t count{};
+  /// Time in ms within which they must begin, counted from when they were asked
+  /// for.
+  std::int64_t lasts_ms{};
+  /// If not all were lent: time in ms after which more can be asked for.
+  std::int64_t room_ms{};
+  /// Likewise: time in ms after which there is room for all of them, for the
+  /// clients that are refused.
+  std::int64_t retry_ms{};
+  /// Whether the tenant has been beyond its limit for some time, so that
+  /// waiting for room is of no use.
+  bool overloaded{};
+
+  auto operator==(const QuotaLoan&) const -> bool = default;
+};
+
+/// Writes `value` to `out`, leaving out members that have their default.
+void to_json(nlohmann::json& out, const QuotaLoan& value);
+
+/// Reads `value`. Throws SchemaError naming the member that is missing or
+/// wrong.
+void from_json(const nlohmann::json& in, QuotaLoan& value);
+
+/// Asks a lender for operations of its tenants.
+struct QuotaWanted {
+  /// Sender.
+  std::string instance{};
+  /// Number of the request, repeated in the answer.
+  std::int64_t ask{};
+  /// Whether the sender does not know the lenders, so that the receiver has to
+  /// ask them for it.
+  bool relay{};
+  /// What is asked for, by tenant.
+  std::vector<QuotaWish> wishes{};
+
+  auto operator==(const QuotaWanted&) const -> bool = default;
+};
+
+/// Writes `value` to `out`, leaving out members that have their default.
+void to_json(nlohmann::json& out, const QuotaWanted& value);
+
+/// Reads `value`. Throws SchemaError naming the member that is missing or
+/// wrong.
+void from_json(const nlohmann::json& in, QuotaWanted& value);
+
+/// Answer to QuotaWanted. An answer to a relayed request may come in parts.
+struct QuotaGiven {
+  /// Number of the request that this answers.
+  std::int64_t ask{};
+  /// What is lent, by tenant.
+  std::vector<QuotaLoan> loans{};
+
+  auto operator==(const QuotaGiven&) const -> bool = default;
+};
+
+/// Writes `value` to `out`, leaving out members that have their default.
+void to_json(nlohmann::json& out, const QuotaGiven& value);
+
+/// Reads `value`. Throws SchemaError naming the member that is missing or
+/// wrong.
+void from_json(const nlohmann::json& in, QuotaGiven& value);
+
 /// Owner of a database, as the sender knows it.
 struct OwnershipHint {
   /// Database name.
@@ -761,6 +845,13 @@
   std::int64_t routes_version{};
   /// Number of endpoints known to the sender.
   std::int64_t endpoints_known{};
+  /// Whether the sender reaches the key-value service.
+  bool store_reachable{};
+  /// If not: time in ms since it did.
+  std::int64_t store_contact_ms{};
+  /// Hash of the instances that lend tenants' operations, as the sender knows
+  /// them; 0 for none.
+  std::int64_t lenders_hash{};
   /// Primaries as the sender knows them.
   std::vector<GroupReport> groups{};
 
@@ -1292,7 +1383,9 @@
                                  GrantWanted,
                                  GrantGiven,
                                  StepDown,
-                                 SteppedDown>;
+                                 SteppedDown,
+                                 QuotaWanted,
+                                 QuotaGiven>;
 
 /// Reads the message type that `in["type"]` names. Throws SchemaError if it is
 /// none of the alternatives.
@@ -1311,7 +1404,8 @@
                                     GrantWanted,
                                     GrantGiven,
                                     StepDown,
-                                    SteppedDown>;
+                                    SteppedDown,
+                                    QuotaWanted>;
 
 /// Reads the message type that `in["type"]` names. Throws SchemaError if it is
 /// none of the alternatives.
--- a/kingcuplock/schema/settings.h
+++ b/kingcuplock/schema/settings.h
@@ -114,6 +114,13 @@
   bool promotions_fenced{false};
   /// Time in ms after which a leaving member gets no new work.
   std::int64_t leaving_ms{7000};
+  /// Length in ms of the window in which operations beyond a tenant's limit are
+  /// counted.
+  std::int64_t quota_window_ms{5000};
+  /// Share by which a tenant's operations in a window may exceed its limit.
+  double quota_overshoot{0.1};
+  /// Number of operations by which they may exceed it besides.
+  double quota_slack{20};
   /// Time in ms within which a new route table must be in use on every
   /// instance.
   std::int64_t routes_propagation_ms{3000};
--- a/kingcuplock/store_client/store_client.h
+++ b/kingcuplock/store_client/store_client.h
@@ -83,6 +83,12 @@
   /// `unavailable`, until it answers again.
   auto IsReachable() const -> bool { return reachable_; }
 
+  /// Returns when the service was last known to answer: now if it is reachable,
+  /// else the time of its last message.
+  auto LastContact() const -> Time {
+    return reachable_ ? timers_.Now() : last_heard_;
+  }
+
   /// Event handlers. They return false, and do nothing, if the connection is
   /// not this client's.
   auto OnOpened(ConnectionId connection) -> bool;
