Quotas: the steady rate is what the window allows, and shortage is judged by the lender's bucket

Cause: tenants beyond their limit waited 300 ms before the refusal, as any full loan ended the shortage. Ruled out: a longer history in the lender (a successor doesn't know it). Change: budget, shortage.

--- a/kingcuplock/quota/quota_borrower.cc
+++ b/kingcuplock/quota/quota_borrower.cc
@@ -14,7 +14,7 @@
 /// Weight of the newest interval in the average.
 constexpr double kNewestWeight = 0.3;
 /// Number of intervals for which is asked ahead.
-constexpr double kAskAheadIntervals = 4;
+constexpr double kAskAheadIntervals = 2.5;
 /// Part of that below which more is asked for.
 constexpr double kLowPart = 0.5;
 /// Operations in the intervals asked ahead under which nothing is asked ahead.
--- a/kingcuplock/quota/quota_lender.cc
+++ b/kingcuplock/quota/quota_lender.cc
@@ -8,6 +8,8 @@
 /// Time in ms without a full loan after which a tenant counts as beyond its
 /// limit. A lender that has just begun to lend fills its bucket within it.
 constexpr Milliseconds kOverloadAfter{300};
+/// Part of the bucket that shows that the tenant is within its limit again.
+constexpr double kRecoveredPart = 0.1;
 /// Time in ms without a question after which a tenant's shortage is forgotten.
 constexpr Milliseconds kShortageLifetime{1000};
 /// Shortest and longest time in ms until an instance asks again, and the
@@ -29,13 +31,12 @@
 
 auto QuotaLender::MakeAccount(const QuotaBudget& budget, Time now) const
     -> Account {
-  return {
-      .sole = TokenBucket(budget.rate_per_s, budget.size, budget.start, now),
-      .doubtful =
-          TokenBucket(budget.doubtful_rate_per_s, kDoubtfulSize, 0, now),
-      .budget = budget,
-      .short_since = std::nullopt,
-      .last_asked = now};
+  return {.sole = TokenBucket(budget.rate_per_s, budget.size, 0, now),
+          .doubtful =
+              TokenBucket(budget.doubtful_rate_per_s, kDoubtfulSize, 0, now),
+          .budget = budget,
+          .short_since = std::nullopt,
+          .last_asked = now};
 }
 
 auto QuotaLender::SetTenants(std::span<const TenantConfig> tenants, Time now)
@@ -71,7 +72,7 @@
     return;
   }
   auto& account = it->second;
-  account.sole.Limit(account.budget.start, now);
+  account.sole.Limit(0, now);
 }
 
 auto QuotaLender::Lend(const QuotaWish& wish, LenderState state, Time now)
@@ -99,13 +100,16 @@
   out.count = bucket.Take(wish.count, now);
   out.lasts_ms =
       std::chrono::duration_cast<Milliseconds>(account.budget.validity).count();
-  if (out.count >= wish.count) {
+  // A few instances get all that they ask for although the tenant is beyond its
+  // limit; the bucket shows it.
+  if (bucket.Tokens(now) >= account.budget.size * kRecoveredPart) {
     account.short_since.reset();
-    return out;
-  }
-  if (!account.short_since) {
+  } else if (out.count < wish.count && !account.short_since) {
     account.short_since = now;
   }
+  if (out.count >= wish.count) {
+    return out;
+  }
   out.overloaded = now - *account.short_since >= kOverloadAfter;
   const auto missing = static_cast<double>(wish.count - out.count);
   const auto for_all = bucket.TimeUntil(missing, now);
--- a/kingcuplock/quota/quota_lender.h
+++ b/kingcuplock/quota/quota_lender.h
@@ -39,8 +39,8 @@
   /// Returns the tenants that were asked for.
   auto Tenants() const -> std::vector<std::string>;
 
-  /// Notes that others may have lent a tenant's operations: its bucket is cut
-  /// to what a new lender may lend at once.
+  /// /// Notes that others may have lent a tenant's operations: its bucket is
+  /// emptied.
   auto NoteInterrupted(const std::string& tenant, Time now) -> void;
 
   /// Lends as much as there is of what is wished for; nothing to an unknown
