Quotas: a takeover is doubtful only while the former lender is registered; event 765 tells who lends

Cause: with a third of the instances cut off, lenders that took over lent a few percent for 3.5 s more.

--- a/kingcuplock/base/log.cc
+++ b/kingcuplock/base/log.cc
@@ -122,6 +122,7 @@
     {kQuotaExceeded, kWarning, "tenant is beyond its limit"},
     {kTenantRejected, kError, "tenant left out of the route table"},
     {kConfigurationUnheard, kWarning, "configuration not confirmed in time"},
+    {kLendingChanged, kInfo, "other tenants' operations are lent here"},
 };
 
 }  // namespace
--- a/kingcuplock/base/log.h
+++ b/kingcuplock/base/log.h
@@ -92,6 +92,7 @@
   kQuotaExceeded = 762,
   kTenantRejected = 763,
   kConfigurationUnheard = 764,
+  kLendingChanged = 765,
 };
 
 /// Name and value of one field of an event.
--- a/kingcuplock/gateway/gateway.cc
+++ b/kingcuplock/gateway/gateway.cc
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <utility>
 
+#include <fmt/format.h>
+
 #include "kingcuplock/membership/peer_choice.h"
 #include "kingcuplock/schema/codec.h"
 #include "kingcuplock/schema/value_check.h"
@@ -63,7 +65,15 @@
            },
            [this] { return store_.LastContact(); },
            [this] { return duty_ownership_.LeaseValidUntil() > timers_.Now(); },
-           [this] { return QuotaPeers(); }}),
+           [this] { return QuotaPeers(); },
+           [this](const LendingStates& it) {
+             shell_.Log(
+                 Event::kLendingChanged,
+                 {{"sole", std::to_string(it.sole)},
+                  {"doubtful", std::to_string(it.doubtful)},
+                  {"none", std::to_string(it.none)},
+                  {"lenders", fmt::format("{}", quotas_.Lenders().size())}});
+           }}),
       endpoints_(timers, [this] { OnEndpointsChanged(); }),
       duty_ownership_(
           names_,
--- a/kingcuplock/quota/quota_exchange.cc
+++ b/kingcuplock/quota/quota_exchange.cc
@@ -73,13 +73,20 @@
         XXH64(it.data(), it.size(), static_cast<XXH64_hash_t>(lenders_hash_)) >>
         kHashShift);
   }
-  orders_.clear();
+  const auto former_orders = std::exchange(orders_, {});
   for (const auto& it : limited_tenants_) {
     const auto& order = Order(it);
+    const auto former = former_orders.find(it);
+    const auto first_before =
+        former == former_orders.end() || former->second.empty()
+            ? std::string()
+            : former->second.front();
     if (order.empty() || order.front() != self_) {
-      first_since_.erase(it);
-    } else {
-      first_since_.try_emplace(it, timers_.Now());
+      takeovers_.erase(it);
+    } else if (first_before != self_) {
+      const auto registered =
+          std::find(names.begin(), names.end(), first_before) != names.end();
+      takeovers_[it] = {timers_.Now(), registered ? first_before : ""};
     }
   }
   CheckOwnStates();
@@ -88,15 +95,24 @@
 // Buckets fill only while this instance is the one that lends; meanwhile
 // another one may have lent as much.
 auto QuotaExchange::CheckOwnStates() -> void {
+  LendingStates states;
   for (const auto& it : lender_.Tenants()) {
     const auto state = OwnState(it);
+    ++(!state                             ? states.none
+       : *state == LenderState::kDoubtful ? states.doubtful
+                                          : states.sole);
     if (state != LenderState::kSole) {
       lender_.NoteInterrupted(it, timers_.Now());
     }
-    if (!state && first_since_.contains(it)) {
-      first_since_[it] = timers_.Now();
+    if (!state && Order(it).size() > 1 && Order(it).front() == self_) {
+      // The next in the order lends meanwhile.
+      takeovers_[it] = {timers_.Now(), Order(it)[1]};
     }
   }
+  if (std::exchange(lending_states_, states) != states &&
+      callbacks_.lending_changed) {
+    callbacks_.lending_changed(states);
+  }
 }
 
 auto QuotaExchange::Lenders() const -> std::vector<std::string> {
@@ -152,16 +168,11 @@
 // that it has been replaced, as it is cut off from this one and from the store.
 // It stops by itself once its registration may have lapsed.
 auto QuotaExchange::IsTakeoverDoubtful(const std::string& tenant) -> bool {
-  const auto since = first_since_.find(tenant);
-  if (since == first_since_.end() ||
-      since->second - started_ < kYoungInstance ||
-      timers_.Now() - since->second >= kTakeoverDoubt) {
-    return false;
-  }
-  const auto& order = Order(tenant);
-  return std::any_of(order.begin(), order.end(), [&](const auto& it) {
-    return it != self_ && callbacks_.peer_state(it) == PeerState::kUnreachable;
-  });
+  const auto it = takeovers_.find(tenant);
+  return it != takeovers_.end() && !it->second.former.empty() &&
+         it->second.since - started_ >= kYoungInstance &&
+         timers_.Now() - it->second.since < kTakeoverDoubt &&
+         callbacks_.peer_state(it->second.former) == PeerState::kUnreachable;
 }
 
 auto QuotaExchange::IsSilent(const std::string& instance) const -> bool {
--- a/kingcuplock/quota/quota_exchange.h
+++ b/kingcuplock/quota/quota_exchange.h
@@ -50,6 +50,16 @@
   std::int64_t lenders_hash = 0;
 };
 
+/// For how many of the tenants that it was asked about an instance lends, lends
+/// little as another one may lend too, and lends nothing.
+struct LendingStates {
+  int sole = 0;
+  int doubtful = 0;
+  int none = 0;
+
+  auto operator==(const LendingStates&) const -> bool = default;
+};
+
 /// Callbacks of a QuotaExchange.
 struct QuotaExchangeCallbacks {
   /// Sends a question to an instance that is up. Returns whether it was sent.
@@ -63,6 +73,8 @@
   std::function<bool()> is_registered;
   /// Returns the instances that are up.
   std::function<std::vector<QuotaPeer>()> peers;
+  /// What this instance lends has changed, or why. May be empty.
+  std::function<void(const LendingStates&)> lending_changed;
 };
 
 /// Counts of messages, for metrics.
@@ -178,13 +190,19 @@
   std::vector<std::string> lenders_;
   /// Order of the lenders by tenant.
   std::map<std::string, std::vector<std::string>> orders_;
-  /// When this instance became the first lender of a tenant.
-  std::map<std::string, Time> first_since_;
+  /// When this instance became the first lender of a tenant, and in whose
+  /// place; empty if that one is not registered any more.
+  struct Takeover {
+    Time since{};
+    std::string former;
+  };
+  std::map<std::string, Takeover> takeovers_;
   std::map<std::int64_t, Ask> asks_;
   std::int64_t last_ask_ = 0;
   /// Until when lenders that did not answer are passed over.
   std::map<std::string, Time> silent_until_;
   std::int64_t lenders_hash_ = 0;
+  LendingStates lending_states_;
   /// Whether a timer checks regularly what this instance may lend.
   bool checking_states_ = false;
   std::optional<Time> ask_at_;
