--- a/kingcuplock/gateway/gateway.h
+++ b/kingcuplock/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -243,7 +244,7 @@
   std::map<std::string, QuotaRefusals> quota_refusals_;
   /// What heartbeats said last about this instance, and whether a timer checks
   /// for changes.
-  std::pair<bool, std::int64_t> quota_news_told_;
+  std::tuple<bool, bool, std::int64_t> quota_news_told_;
   bool watching_quota_news_ = false;
   EndpointDirectory endpoints_;
   OwnershipKeeper duty_ownership_;
--- a/kingcuplock/gateway/gateway_peers.cc
+++ b/kingcuplock/gateway/gateway_peers.cc
@@ -153,6 +153,7 @@
                              timers_.Now() - store_.LastContact())
                              .count();
   out.lenders_hash = quotas_.LendersHash();
+  out.lends = quotas_.MayLend();
   std::erase_if(group_state_shared_until_,
                 [this](const auto& it) { return it.second < timers_.Now(); });
   std::set<std::string> names;
@@ -175,7 +176,7 @@
 auto Gateway::NoteHeartbeat(const Heartbeat& heartbeat) -> bool {
   quota_peers_[heartbeat.instance] = {
       heartbeat.instance, heartbeat.store_reachable,
-      timers_.Now() - Milliseconds(heartbeat.store_contact_ms),
+      timers_.Now() - Milliseconds(heartbeat.store_contact_ms), heartbeat.lends,
       heartbeat.lenders_hash};
   for (const auto& it : heartbeat.groups) {
     peer_reports_[heartbeat.instance][it.group] = {it, timers_.Now()};
--- a/kingcuplock/gateway/gateway_tenants.cc
+++ b/kingcuplock/gateway/gateway_tenants.cc
@@ -2,6 +2,7 @@
 // whose key is unknown, sessions whose key is removed, and what the exchange of
 // operations needs to know.
 
+#include <tuple>
 #include <utility>
 
 #include <fmt/format.h>
@@ -53,7 +54,11 @@
   if (!instances_removed_.empty()) {
     timers_.After(kLenderGrace, [this] { ApplyLenders(); });
   }
+  const auto lenders_before = quotas_.Lenders();
   quotas_.SetInstances(std::vector<std::string>(names.begin(), names.end()));
+  if (quotas_.Lenders() != lenders_before) {
+    UpdatePeers();
+  }
 }
 
 // Peers that are told late would ask a former lender, or lend as one.
@@ -63,7 +68,8 @@
   }
   timers_.After(kQuotaNewsInterval, [this] {
     watching_quota_news_ = false;
-    const std::pair news(store_.IsReachable(), quotas_.LendersHash());
+    const std::tuple news(store_.IsReachable(), quotas_.MayLend(),
+                          quotas_.LendersHash());
     if (std::exchange(quota_news_told_, news) != news) {
       SendHeartbeats();
     }
--- a/kingcuplock/quota/quota_exchange.cc
+++ b/kingcuplock/quota/quota_exchange.cc
@@ -17,6 +17,8 @@
 constexpr std::string_view kLenderKey = "quota lenders";
 /// Time in ms for which a lender that did not answer is passed over.
 constexpr Milliseconds kSilentTime{1000};
+/// Time in ms within which the former lender hears that this one has returned.
+constexpr Milliseconds kNewsTime{200};
 /// Time in ms for which a lender that returns takes another one to lend on that
 /// is cut off. A registration and a loan end within it.
 constexpr Milliseconds kTakeoverDoubt{3500};
@@ -153,26 +155,49 @@
                      [](const auto& it) { return it.reaches_store; });
 }
 
-// After its registration may have lapsed, an instance lends on only if the
-// store seems to be lost for all: no peer reaches it, and most lenders are up.
-auto QuotaExchange::MayLendUnregistered() const -> bool {
-  const auto n =
-      std::count_if(lenders_.begin(), lenders_.end(), [this](const auto& it) {
-        return it == self_ || callbacks_.peer_state(it) == PeerState::kUp;
+// An instance that is cut off from the store gives the role up as soon as a
+// peer // is not. If the store is lost for all, it lends on; once its
+// registration may have lapsed, only while it would hear from every other
+// lender that the store is not lost there.
+auto QuotaExchange::MayLend() const -> bool {
+  if (!HasCurrentList()) {
+    return false;
+  }
+  if (callbacks_.last_store_contact() >= timers_.Now()) {
+    return true;
+  }
+  const auto hears_all =
+      std::none_of(lenders_.begin(), lenders_.end(), [this](const auto& it) {
+        return it != self_ &&
+               callbacks_.peer_state(it) == PeerState::kUnreachable;
       });
-  return !AnyPeerReachesStore() &&
-         2 * static_cast<std::size_t>(n) > lenders_.size();
+  return !AnyPeerReachesStore() && (callbacks_.is_registered() || hears_all);
+}
+
+// Returns whether another lender may lend: its process may run, and it has not
+// said that it gave the role up.
+auto QuotaExchange::CanLend(const std::string& lender,
+                            std::span<const QuotaPeer> peers) const -> bool {
+  const auto it =
+      std::find_if(peers.begin(), peers.end(),
+                   [&](const auto& peer) { return peer.name == lender; });
+  return callbacks_.peer_state(lender) != PeerState::kGone &&
+         (it == peers.end() || it->lends);
 }
 
-// // Returns whether the instance that lent before this one may not know yet
+// Returns whether the instance that lent before this one may not know yet
 // that it has been replaced, as it is cut off from this one and from the store.
 // It stops by itself once its registration may have lapsed.
 auto QuotaExchange::IsTakeoverDoubtful(const std::string& tenant) -> bool {
   const auto it = takeovers_.find(tenant);
-  return it != takeovers_.end() && !it->second.former.empty() &&
-         it->second.since - started_ >= kYoungInstance &&
-         timers_.Now() - it->second.since < kTakeoverDoubt &&
-         callbacks_.peer_state(it->second.former) == PeerState::kUnreachable;
+  if (it == takeovers_.end() || it->second.former.empty() ||
+      it->second.since - started_ < kYoungInstance) {
+    return false;
+  }
+  const auto passed = timers_.Now() - it->second.since;
+  return passed < kNewsTime ||
+         (passed < kTakeoverDoubt &&
+          callbacks_.peer_state(it->second.former) == PeerState::kUnreachable);
 }
 
 auto QuotaExchange::IsSilent(const std::string& instance) const -> bool {
@@ -182,16 +207,20 @@
 
 auto QuotaExchange::ChooseLender(const std::string& tenant)
     -> std::optional<Choice> {
+  const auto peers = callbacks_.peers();
+  const auto lends = MayLend();
   auto passed_over = false;
   for (const auto& it : Order(tenant)) {
-    if (it == self_) {
+    if (it == self_ && lends) {
       return Choice{it, passed_over};
     }
-    const auto state = callbacks_.peer_state(it);
-    if (state == PeerState::kUp && !IsSilent(it)) {
+    if (it == self_ || !CanLend(it, peers)) {
+      continue;
+    }
+    if (callbacks_.peer_state(it) == PeerState::kUp && !IsSilent(it)) {
       return Choice{it, passed_over};
     }
-    passed_over = passed_over || state != PeerState::kGone;
+    passed_over = true;
   }
   return std::nullopt;
 }
@@ -199,17 +228,16 @@
 // Returns nullopt if this instance must not lend.
 auto QuotaExchange::OwnState(const std::string& tenant)
     -> std::optional<LenderState> {
-  // A lapsed registration means that others have another lender by now.
-  if (!HasCurrentList() ||
-      (!callbacks_.is_registered() && !MayLendUnregistered())) {
+  if (!MayLend()) {
     return std::nullopt;
   }
+  const auto peers = callbacks_.peers();
   for (const auto& it : Order(tenant)) {
     if (it == self_) {
       return IsTakeoverDoubtful(tenant) ? LenderState::kDoubtful
                                         : LenderState::kSole;
     }
-    if (callbacks_.peer_state(it) != PeerState::kGone) {
+    if (CanLend(it, peers)) {
       const auto& order = Order(tenant);
       const auto is_lender =
           std::find(order.begin(), order.end(), self_) != order.end();
--- a/kingcuplock/quota/quota_exchange.h
+++ b/kingcuplock/quota/quota_exchange.h
@@ -46,7 +46,8 @@
   /// Whether it reaches the store, and when it did last.
   bool reaches_store = false;
   Time last_contact{};
-  /// QuotaExchange::LendersHash() there.
+  /// QuotaExchange::MayLend() and LendersHash() there.
+  bool lends = false;
   std::int64_t lenders_hash = 0;
 };
 
@@ -133,6 +134,11 @@
   /// for all at one time, all go on with the list that they had.
   auto HasCurrentList() const -> bool;
 
+  /// Returns whether this instance lends the operations of tenants whose lender
+  /// it is. It does not once others may have lost sight of it. Peers have to be
+  /// told of a change at once, as another instance lends then.
+  auto MayLend() const -> bool;
+
   /// Returns a hash of the list of lenders; 0 for an empty one.
   auto LendersHash() const -> std::int64_t { return lenders_hash_; }
 
@@ -160,7 +166,8 @@
   };
 
   auto AnyPeerReachesStore() const -> bool;
-  auto MayLendUnregistered() const -> bool;
+  auto CanLend(const std::string& lender,
+               std::span<const QuotaPeer> peers) const -> bool;
   auto IsTakeoverDoubtful(const std::string& tenant) -> bool;
   auto Order(const std::string& tenant) -> const std::vector<std::string>&;
   auto ChooseLender(const std::string& tenant) -> std::optional<Choice>;
--- a/kingcuplock/quota/quota_property_test.cc
+++ b/kingcuplock/quota/quota_property_test.cc
@@ -73,6 +73,7 @@
     node.told_reaches = false;
     node.told_contact = Time{};
     node.told_hash = 0;
+    node.told_lends = false;
     node.told_store = timers_.Now();
     QuotaExchangeCallbacks callbacks;
     callbacks.send = [this, n](const std::string& to, const QuotaWanted& it) {
@@ -95,8 +96,8 @@
       std::vector<QuotaPeer> out;
       for (const auto& it : nodes_) {
         if (IsUpFor(n, it)) {
-          out.push_back(
-              {it.name, it.told_reaches, it.told_contact, it.told_hash});
+          out.push_back({it.name, it.told_reaches, it.told_contact,
+                         it.told_lends, it.told_hash});
         }
       }
       return out;
@@ -177,6 +178,7 @@
     Time told_store{};
     bool told_reaches = true;
     Time told_contact{};
+    bool told_lends = false;
     std::int64_t told_hash = 0;
     std::vector<std::string> list;
   };
@@ -211,11 +213,13 @@
       }
       if (it.quotas && (timers_.Now() - it.told_store >= kHeartbeat ||
                         it.told_reaches != ReachesStore(n) ||
+                        it.told_lends != it.quotas->MayLend() ||
                         it.told_hash != it.quotas->LendersHash())) {
         it.told_store = timers_.Now();
         it.told_reaches = ReachesStore(n);
         it.told_contact = it.own_contact;
         it.told_hash = it.quotas->LendersHash();
+        it.told_lends = it.quotas->MayLend();
       }
     }
     for (std::size_t n = 0; n < nodes_.size(); ++n) {
--- a/kingcuplock/schema/messages.cc
+++ b/kingcuplock/schema/messages.cc
@@ -809,6 +809,7 @@
                           kDefaults.store_reachable);
   internal::WriteOptional(out, "store_contact_ms", value.store_contact_ms,
                           kDefaults.store_contact_ms);
+  internal::WriteOptional(out, "lends", value.lends, kDefaults.lends);
   internal::WriteOptional(out, "lenders_hash", value.lenders_hash,
                           kDefaults.lenders_hash);
   internal::WriteOptional(out, "groups", value.groups, kDefaults.groups);
@@ -832,6 +833,7 @@
   internal::ReadOptional(in, "store_reachable", value.store_reachable);
   internal::ReadOptional(in, "store_contact_ms", value.store_contact_ms,
                          internal::kMilliseconds);
+  internal::ReadOptional(in, "lends", value.lends);
   internal::ReadOptional(in, "lenders_hash", value.lenders_hash,
                          internal::kAnyInteger);
   internal::ReadOptional(in, "groups", value.groups);
--- a/kingcuplock/schema/messages.h
+++ b/kingcuplock/schema/messages.h
@@ -849,6 +849,8 @@
   bool store_reachable{};
   /// If not: time in ms since it did.
   std::int64_t store_contact_ms{};
+  /// Whether the sender lends tenants' operations if it is their lender.
+  bool lends{};
   /// Hash of the instances that lend tenants' operations, as the sender knows
   /// them; 0 for none.
   std::int64_t lenders_hash{};
