Connections by tenant: one of the even share stays free, as without tenants

Cause: after all instances lost power, members hold the old connections for three seconds, and the whole share was in use.

--- a/kingcuplock/gateway/group.cc
+++ b/kingcuplock/gateway/group.cc
@@ -112,12 +112,7 @@
   ConnectionLimits limits;
   limits.max_connections = std::max(even * kShareFactor, kMinConnections);
   limits.max_idle = std::max<std::int64_t>(even - 1, 1);
-  if (connections_by_tenant_) {
-    // Each idle connection serves one of many tenants, so all of the share are
-    // kept.
-    limits.max_idle = std::max<std::int64_t>(even, 1);
-    limits.by_tenant = true;
-  }
+  limits.by_tenant = connections_by_tenant_;
   if (const auto without = instances - config_.connections; without > 0) {
     limits.max_idle = keep_connected_ ? 1 : 0;
     limits.turn_duration = std::min<Duration>(
