--- a/kingcuplock/admission/admission_queue.h
+++ b/kingcuplock/admission/admission_queue.h
@@ -2,10 +2,10 @@
 
 /// Bounded queue of requests that wait for a slot. More urgent priorities are
 /// served first. Kinds of the same priority are served the same fraction of
-/// what they offer, and callers of one kind take turns. A request that has
-/// missed its target is served after those that can still meet theirs. Requests
-/// that can't be served in time or find no room are returned at once, least
-/// urgent first.
+/// what they offer. Tenants of one kind take turns, and so do a tenant's
+/// callers. A request that has missed its target is served after those that can
+/// still meet theirs. Requests that can't be served in time or find no room are
+/// returned at once, least urgent first.
 ///
 /// A longer queue doesn't serve more requests in a lasting overload. Once the
 /// requests of a kind have waited for as long as their target without a break,
@@ -25,14 +25,13 @@
 #include <cstdint>
 #include <deque>
 #include <iterator>
-#include <list>
 #include <map>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "kingcuplock/admission/fair_turns.h"
 #include "kingcuplock/admission/queue_stats.h"
 #include "kingcuplock/base/timer_service.h"
 
@@ -55,6 +54,8 @@
   std::optional<Time> target = std::nullopt;
   /// When it was added; set by Push().
   Time added{};
+  /// Tenant of the caller, empty for none.
+  std::string tenant = {};
 
   /// Returns the target or the deadline, whichever is earlier.
   auto wanted_by() const -> Time {
@@ -82,13 +83,8 @@
     auto& level = levels_[entry.priority];
     auto& kind = level[entry.kind];
     kind.share.NoteOffered(now);
-    kind.delay.NoteAdded(now, kind.size);
-    auto& caller_entries = kind.callers[entry.caller];
-    if (caller_entries.empty()) {
-      kind.turn_order.push_back(entry.caller);
-    }
-    caller_entries.push_back(std::move(entry));
-    ++kind.size;
+    kind.delay.NoteAdded(now, kind.turns.Size());
+    kind.turns.Push(std::move(entry));
     ++size_;
     return DropExcess(kind, now);
   }
@@ -139,13 +135,9 @@
     }
     for (auto& [priority, level] : levels_) {
       for (auto& [name, kind] : level) {
-        for (auto& [caller, caller_entries] : kind.callers) {
-          if (std::erase_if(caller_entries, same) > 0) {
-            --kind.size;
-            --size_;
-            DropIfEmpty(kind, caller);
-            return true;
-          }
+        if (!kind.turns.RemoveIf(same).empty()) {
+          --size_;
+          return true;
         }
       }
     }
@@ -161,21 +153,17 @@
           entries.begin(), entries.end(),
           [&](const auto& it) { return it.deadline >= time; });
       std::move(first, entries.end(), std::back_inserter(due));
-      const auto n = static_cast<std::size_t>(entries.end() - first);
+      size_ -= static_cast<std::size_t>(entries.end() - first);
       entries.erase(first, entries.end());
-      size_ -= n;
-      return n;
     };
     take(front_);
     take(overdue_);
     for (auto& [priority, level] : levels_) {
       for (auto& [name, kind] : level) {
-        const std::vector<std::uint64_t> callers(kind.turn_order.begin(),
-                                                 kind.turn_order.end());
-        for (const auto caller : callers) {
-          kind.size -= take(kind.callers.at(caller));
-          DropIfEmpty(kind, caller);
-        }
+        auto removed = kind.turns.RemoveIf(
+            [time](const Entry& it) { return it.deadline < time; });
+        size_ -= removed.size();
+        std::move(removed.begin(), removed.end(), std::back_inserter(due));
       }
     }
     return due;
@@ -219,7 +207,7 @@
     for (const auto& [other, level] : levels_) {
       if (other <= priority) {
         for (const auto& [name, kind] : level) {
-          ahead += kind.size;
+          ahead += kind.turns.Size();
         }
       }
     }
@@ -228,23 +216,13 @@
 
  private:
   struct Kind {
-    std::list<std::uint64_t> turn_order;
-    std::unordered_map<std::uint64_t, std::deque<Entry>> callers;
-    std::size_t size = 0;
+    FairTurns<Entry> turns;
     ServedRatio share;
     QueueDelay delay;
   };
   /// Kinds of one priority, by name.
   using PriorityLevel = std::map<std::string, Kind>;
 
-  static void DropIfEmpty(Kind& kind, std::uint64_t caller) {
-    const auto it = kind.callers.find(caller);
-    if (it->second.empty()) {
-      kind.callers.erase(it);
-      kind.turn_order.remove(caller);
-    }
-  }
-
   template <typename Accepts>
   auto TakeFirst(Time now, Accepts accepts) -> std::optional<Entry> {
     if (auto entry = TakeFrom(front_, accepts)) {
@@ -278,7 +256,7 @@
       -> std::optional<Entry> {
     std::vector<std::pair<double, Kind*>> kinds;
     for (auto& [name, kind] : level) {
-      if (kind.size > 0) {
+      if (kind.turns.Size() > 0) {
         kinds.emplace_back(kind.share.RatioAt(now), &kind);
       }
     }
@@ -297,28 +275,10 @@
     return std::nullopt;
   }
 
-  /// Takes the oldest item of the first caller whose oldest item is accepted;
-  /// that caller's next turn comes after those of the others.
   template <typename Accepts>
   auto TakeTurn(Kind& kind, Accepts accepts) -> std::optional<Entry> {
-    const auto it = std::find_if(
-        kind.turn_order.begin(), kind.turn_order.end(),
-        [&](auto caller) { return accepts(kind.callers.at(caller).front()); });
-    if (it == kind.turn_order.end()) {
-      return std::nullopt;
-    }
-    const auto caller = *it;
-    kind.turn_order.erase(it);
-    auto& caller_entries = kind.callers.at(caller);
-    auto entry = std::move(caller_entries.front());
-    caller_entries.pop_front();
-    --kind.size;
-    --size_;
-    if (caller_entries.empty()) {
-      kind.callers.erase(caller);
-    } else {
-      kind.turn_order.push_back(caller);
-    }
+    auto entry = kind.turns.Take(accepts);
+    size_ -= entry ? 1 : 0;
     return entry;
   }
 
@@ -328,9 +288,8 @@
     const auto any = [](const Entry&) { return true; };
     for (auto& [priority, level] : levels_) {
       for (auto& [name, kind] : level) {
-        while (kind.size > 0) {
-          const auto& head = kind.callers.at(kind.turn_order.front()).front();
-          if (now + service_ <= head.deadline) {
+        while (kind.turns.Size() > 0) {
+          if (now + service_ <= kind.turns.Next().deadline) {
             break;
           }
           late.push_back(*TakeTurn(kind, any));
@@ -339,16 +298,10 @@
     }
   }
 
-  /// Takes the newest item of the caller that has the most items.
+  /// Takes the newest item of the tenant and caller that have the most items.
   auto TakeNewest(Kind& kind) -> Entry {
-    const auto caller = CallerWithMostItems(kind);
-    auto& caller_entries = kind.callers.at(caller);
-    auto entry = std::move(caller_entries.back());
-    caller_entries.pop_back();
-    --kind.size;
     --size_;
-    DropIfEmpty(kind, caller);
-    return entry;
+    return kind.turns.TakeNewest();
   }
 
   /// Returns the kind with the most items in the least urgent priority that has
@@ -357,7 +310,7 @@
     for (auto it = levels_.rbegin(); it != levels_.rend(); ++it) {
       Kind* most = nullptr;
       for (auto& [name, kind] : it->second) {
-        if (kind.size > (most == nullptr ? 0 : most->size)) {
+        if (kind.turns.Size() > (most == nullptr ? 0 : most->turns.Size())) {
           most = &kind;
         }
       }
@@ -384,11 +337,11 @@
       }
       dropped.push_back(TakeNewest(*kind));
     }
-    while (added.size > 0 && NewestIsLate(added, now)) {
+    while (added.turns.Size() > 0 && NewestIsLate(added, now)) {
       dropped.push_back(TakeNewest(added));
     }
     auto* least = LargestLeastUrgentKind();
-    while (least != nullptr && least != &added && least->size > 0 &&
+    while (least != nullptr && least != &added && least->turns.Size() > 0 &&
            NewestIsLate(*least, now)) {
       dropped.push_back(TakeNewest(*least));
     }
@@ -399,8 +352,8 @@
   /// miss its target, or wait for longer than is allowed in a queue that stays
   /// filled.
   auto NewestIsLate(const Kind& kind, Time now) const -> bool {
-    const auto& newest = kind.callers.at(CallerWithMostItems(kind)).back();
-    const auto ahead = static_cast<std::int64_t>(kind.size - 1);
+    const auto& newest = kind.turns.Newest();
+    const auto ahead = static_cast<std::int64_t>(kind.turns.Size() - 1);
     const auto all_ahead =
         static_cast<std::int64_t>(size_ - overdue_.size() - 1);
     const auto departure_interval = kind.delay.departure_interval();
@@ -411,22 +364,6 @@
            wait > kind.delay.MaxWait(now, newest.wanted_by() - newest.added);
   }
 
-  /// Returns the caller that has the most items; of equals, the one whose turn
-  /// is last.
-  static auto CallerWithMostItems(const Kind& kind) -> std::uint64_t {
-    auto busiest = kind.turn_order.back();
-    auto most = kind.callers.at(busiest).size();
-    for (auto it = kind.turn_order.rbegin(); it != kind.turn_order.rend();
-         ++it) {
-      const auto size = kind.callers.at(*it).size();
-      if (size > most) {
-        busiest = *it;
-        most = size;
-      }
-    }
-    return busiest;
-  }
-
   std::size_t limit_;
   std::int64_t slots_;
   std::deque<Entry> front_;
--- a/kingcuplock/gateway/group.cc
+++ b/kingcuplock/gateway/group.cc
@@ -588,10 +588,15 @@
 }
 
 auto Group::Enqueue(Queue& queue, const StatementTaskPtr& task) -> void {
-  const auto shed =
-      queue.Push({task->route.priority, task->client, task->send_by, task,
-                  task->route.database, task->wanted_by},
-                 timers_.Now());
+  const auto shed = queue.Push({task->route.priority,
+                                task->client,
+                                task->send_by,
+                                task,
+                                task->route.database,
+                                task->wanted_by,
+                                {},
+                                task->tenant},
+                               timers_.Now());
   for (const auto& it : shed) {
     RefuseTask(it.item, "the queue is longer than the deadline");
   }
--- a/kingcuplock/gateway/group_outcome.cc
+++ b/kingcuplock/gateway/group_outcome.cc
@@ -202,8 +202,14 @@
       RefuseTask(task, "no primary in time");
       return;
     }
-    QueueOf(*task).PushFront({task->route.priority, task->client, task->send_by,
-                              task, task->route.database, task->wanted_by});
+    QueueOf(*task).PushFront({task->route.priority,
+                              task->client,
+                              task->send_by,
+                              task,
+                              task->route.database,
+                              task->wanted_by,
+                              {},
+                              task->tenant});
     timers_.After(Duration::zero(), guard_.Bind([this] { DispatchWaiting(); }));
     return;
   }
--- a/kingcuplock/schema/messages.cc
+++ b/kingcuplock/schema/messages.cc
@@ -1398,11 +1398,15 @@
   if (type == "quota_wanted") {
     return in.get<QuotaWanted>();
   }
-  throw SchemaError("type",
-                    "unknown frame type; send one of: request, status_query, "
-                    "forward, heartbeat, manifest_wanted, manifest_offer, "
-                    "hand_over, routes_wanted, routes_offer, grant_wanted, "
-                    "grant_given, step_down, stepped_down, quota_wanted");
+  if (type == "quota_given") {
+    return in.get<QuotaGiven>();
+  }
+  throw SchemaError(
+      "type",
+      "unknown frame type; send one of: request, status_query, forward, "
+      "heartbeat, manifest_wanted, manifest_offer, hand_over, routes_wanted, "
+      "routes_offer, grant_wanted, grant_given, step_down, stepped_down, "
+      "quota_wanted, quota_given");
 }
 
 auto ReadStoreReply(const nlohmann::json& in) -> StoreReply {
--- a/kingcuplock/schema/messages.h
+++ b/kingcuplock/schema/messages.h
@@ -1407,7 +1407,8 @@
                                     GrantGiven,
                                     StepDown,
                                     SteppedDown,
-                                    QuotaWanted>;
+                                    QuotaWanted,
+                                    QuotaGiven>;
 
 /// Reads the message type that `in["type"]` names. Throws SchemaError if it is
 /// none of the alternatives.
