--- a/kingcuplock/admission/fair_turns.h
+++ b/kingcuplock/admission/fair_turns.h
@@ -153,9 +153,7 @@
     return largest;
   }
 
-  auto Remove(const std::string& tenant_name, std::uint64_t id, bool newest)
-      -> Entry {
-    const auto name = tenant_name;
+  auto Remove(const std::string& name, std::uint64_t id, bool newest) -> Entry {
     auto& tenant = tenants_.at(name);
     auto& entries = tenant.callers.at(id);
     auto entry = std::move(newest ? entries.back() : entries.front());
@@ -170,8 +168,10 @@
     }
     --size_;
     if (--tenant.size == 0) {
+      // `name` may refer to the list's own element, so the list comes last.
       tenants_.erase(name);
-      turn_order_.remove(name);
+      const auto it = std::find(turn_order_.begin(), turn_order_.end(), name);
+      turn_order_.erase(it);
     }
     return entry;
   }
--- a/kingcuplock/gateway/gateway.cc
+++ b/kingcuplock/gateway/gateway.cc
@@ -63,6 +63,9 @@
                     : peers_.IsRefused(it) ? PeerState::kGone
                                            : PeerState::kUnreachable;
            },
+           [this](const std::string& it, Time since) {
+             peers_.ReplaceIfSilent(it, since);
+           },
            [this] { return store_.LastContact(); },
            [this] { return duty_ownership_.LeaseValidUntil() > timers_.Now(); },
            [this] { return QuotaPeers(); },
--- a/kingcuplock/membership/peer_links.cc
+++ b/kingcuplock/membership/peer_links.cc
@@ -11,6 +11,8 @@
 /// Time in ms within which a failed attempt to open a link means that nobody
 /// listens at the peer's address: several round trips between data centres.
 constexpr Milliseconds kRefusalTime{250};
+/// Shortest time between two replacements of a silent link.
+constexpr Milliseconds kReplacePause{1000};
 /// Silence after which a peer that is not listed is removed.
 constexpr Milliseconds kUnlistedPeerExpiry{10'000};
 
@@ -197,6 +199,23 @@
   return it != peers_.end() && it->second.open && it->second.has_answered;
 }
 
+void PeerLinks::ReplaceIfSilent(std::string_view name, Time since) {
+  const auto it = peers_.find(name);
+  if (it == peers_.end() || !it->second.open ||
+      it->second.last_heard >= since ||
+      timers_.Now() - it->second.connecting_since < kReplacePause) {
+    return;
+  }
+  auto& peer = it->second;
+  outbox_.Close(peer.connection);
+  by_connection_.erase(peer.connection);
+  if (std::exchange(peer.has_answered, false)) {
+    outbox_.Log(Event::kPeerDown, {{"peer", peer.address.name}});
+  }
+  Connect(peer);
+  callbacks_.on_link_down(peer.address.name);
+}
+
 auto PeerLinks::IsRefused(std::string_view peer) const -> bool {
   const auto it = peers_.find(peer);
   return it != peers_.end() && it->second.refused;
--- a/kingcuplock/membership/peer_links.h
+++ b/kingcuplock/membership/peer_links.h
@@ -93,6 +93,12 @@
   /// the peer's process has ended or not started yet.
   auto IsRefused(std::string_view peer) const -> bool;
 
+  /// Opens a new connection in place of one on which nothing was heard since
+  /// `since`, though an answer was expected: connections can go silent while
+  /// new ones work. Does nothing if something was heard, or if the last
+  /// replacement was a moment ago.
+  void ReplaceIfSilent(std::string_view peer, Time since);
+
   /// Returns the names of this instance and of the live peers. A peer is live
   /// if it answers heartbeats and neither it nor the list says that it is
   /// leaving.
--- a/kingcuplock/quota/quota_exchange.cc
+++ b/kingcuplock/quota/quota_exchange.cc
@@ -16,7 +16,7 @@
 /// Key by which the lenders are chosen among the instances.
 constexpr std::string_view kLenderKey = "quota lenders";
 /// Time in ms for which a lender that did not answer is passed over.
-constexpr Milliseconds kSilentTime{1000};
+constexpr Milliseconds kSilentTime{500};
 /// Time in ms within which the former lender hears that this one has returned.
 constexpr Milliseconds kNewsTime{200};
 /// Time in ms for which a lender that returns takes another one to lend on that
@@ -374,6 +374,9 @@
   ++counts_.lost;
   const auto& ask = node.mapped();
   silent_until_[ask.lender] = timers_.Now() + kSilentTime;
+  if (callbacks_.not_answered) {
+    callbacks_.not_answered(ask.lender, ask.sent);
+  }
   if (!ask.reply) {
     borrower_.OnAskLost(ask.tenants, timers_.Now());
     ScheduleAsk(Duration::zero());
--- a/kingcuplock/quota/quota_exchange.h
+++ b/kingcuplock/quota/quota_exchange.h
@@ -67,6 +67,9 @@
   std::function<bool(const std::string& instance, const QuotaWanted& wanted)>
       send;
   std::function<PeerState(const std::string& instance)> peer_state;
+  /// Notes that an instance did not answer a question that was sent at `since`;
+  /// its connection may be dead. May be empty.
+  std::function<void(const std::string& instance, Time since)> not_answered;
   /// Returns when this instance reached the store last, from which it learns
   /// who is registered: now if it does.
   std::function<Time()> last_store_contact;
