--- a/kingcuplock/gateway/gateway.h
+++ b/kingcuplock/gateway/gateway.h
@@ -159,6 +159,7 @@
   auto NoteQuotaRefusal(const std::string& tenant) -> void;
   auto QuotaPeers() const -> std::vector<QuotaPeer>;
   auto WatchQuotaNews() -> void;
+  auto CheckConfigurationHeard() -> void;
   auto RefuseClient(ConnectionId client,
                     const ClientHello& hello,
                     StatementAnswer answer) -> void;
@@ -246,6 +247,10 @@
   /// for changes.
   std::tuple<bool, bool, std::int64_t> quota_news_told_;
   bool watching_quota_news_ = false;
+  /// Since when neither the store nor a peer was heard, and whether that was
+  /// logged.
+  std::optional<Time> configuration_unheard_since_;
+  bool configuration_unheard_logged_ = false;
   EndpointDirectory endpoints_;
   OwnershipKeeper duty_ownership_;
   PeerLinks peers_;
--- a/kingcuplock/gateway/gateway_tenants.cc
+++ b/kingcuplock/gateway/gateway_tenants.cc
@@ -73,12 +73,32 @@
     if (std::exchange(quota_news_told_, news) != news) {
       SendHeartbeats();
     }
+    CheckConfigurationHeard();
     if (!tenants_.tenants().empty()) {
       WatchQuotaNews();
     }
   });
 }
 
+// A key that was removed meanwhile still works here.
+auto Gateway::CheckConfigurationHeard() -> void {
+  if (store_.IsReachable() || peers_.LiveInstances().size() > 1) {
+    configuration_unheard_since_.reset();
+    configuration_unheard_logged_ = false;
+    return;
+  }
+  if (!configuration_unheard_since_) {
+    configuration_unheard_since_ = timers_.Now();
+  }
+  const auto unheard = timers_.Now() - *configuration_unheard_since_;
+  if (unheard >= Milliseconds(settings_.routes_propagation_ms) &&
+      !std::exchange(configuration_unheard_logged_, true)) {
+    shell_.Log(Event::kConfigurationUnheard,
+               {{"routes_version", std::to_string(routes_.table().version)},
+                {"bound_ms", std::to_string(settings_.routes_propagation_ms)}});
+  }
+}
+
 auto Gateway::QuotaPeers() const -> std::vector<QuotaPeer> {
   std::vector<QuotaPeer> out;
   for (const auto& [name, it] : quota_peers_) {
--- a/kingcuplock/gateway/gateway_tenants_test.cc
+++ b/kingcuplock/gateway/gateway_tenants_test.cc
@@ -165,6 +165,16 @@
   CHECK(fixture.FindViolations().empty());
 }
 
+TEST_CASE("An instance that hears nobody says that its keys may be old") {
+  GatewayFixture fixture({.tenants = {Tenant("t-a", {"ka"})}});
+  fixture.RunFor(kStartTime);
+  fixture.SetStoreUp(false);
+  fixture.RunFor(Milliseconds(2500));
+  CHECK(CountEvents(fixture, Event::kConfigurationUnheard) == 0);
+  fixture.RunFor(Milliseconds(8000));
+  CHECK(CountEvents(fixture, Event::kConfigurationUnheard) == 1);
+}
+
 TEST_CASE("No log line holds a key") {
   GatewayFixture fixture({.tenants = {Tenant("t-a", {"secret-key-a"})}});
   fixture.RunFor(kStartTime);
