--- a/kingcuplock/quota/quota_exchange.cc
+++ b/kingcuplock/quota/quota_exchange.cc
@@ -156,9 +156,9 @@
 }
 
 // An instance that is cut off from the store gives the role up as soon as a
-// peer // is not. If the store is lost for all, it lends on; once its
-// registration may have lapsed, only while it would hear from every other
-// lender that the store is not lost there.
+// peer still reaches the store. If the store is lost for all, it lends on; once
+// its registration may have lapsed, only while every other lender is up or
+// gone, so that one which reaches the store would be heard.
 auto QuotaExchange::MayLend() const -> bool {
   if (!HasCurrentList()) {
     return false;
--- a/kingcuplock/quota/quota_lender.h
+++ b/kingcuplock/quota/quota_lender.h
@@ -48,11 +48,12 @@
   auto Lend(const QuotaWish& wish, LenderState state, Time now) -> QuotaLoan;
 
  private:
-  /// Since when less was lent than asked for, without a break.
   struct Account {
+    /// Buckets for the two states of this lender.
     TokenBucket sole;
     TokenBucket doubtful;
     QuotaBudget budget;
+    /// Since when the bucket has been too empty for what is asked for.
     std::optional<Time> short_since;
     Time last_asked{};
   };
