--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,8 +1,8 @@
 #!/usr/bin/env python3
-"""A primary fails part of its requests while its health is good. A SET among them fails, and the write behind it runs."""
+"""An order to promote gets no answer and is carried out seconds later, when the primary is long back. The promoted
+member lacks commits that were acknowledged, although the service has a synchronous replica."""
 import asyncio
 import pathlib
-import random
 import sys
 import time
 
@@ -10,45 +10,28 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib-2"))
 from bed import Bed, Client, main  # noqa: E402
-from platform_standin import Member  # noqa: E402
+from sync_group import SyncGroup  # noqa: E402
 
-SECONDS = 6.5  # srv_grey: for_s 6.5 in the site files
-FAILED_SHARE = 0.4  # srv_grey: x (.4), how busy
-SESSIONS = 10
+DOWN_S = 0.6  # the primary; srv_crash has for_s 7
+LATE_S = 4.0  # applied_late: carried out 2 to 12 s later
+WRITERS = 12
+SECONDS = 12
 
 
-class GreyMember(Member):
-    """A member that refuses a share of its requests with BUSY, which means that they did not run; its health is good."""
-
-    failed_share = 0.0
-    failed_sets = 0
-
-    def run_statement(self, session, statement, text):
-        verb = text.split(" ")[2 if text.startswith("AFTER ") else 0]
-        if verb in ("SET", "PREPARE", "RESET", "READ", "WRITE", "EXECUTE") and random.random() < self.failed_share:
-            self.failed_sets += verb == "SET"
-            return self.fail_statement(session, "BUSY")
-        return super().run_statement(session, statement, text)
-
-
-async def use_session(bed, gateway, number, until, sent):
-    """One requester: sets a value and writes, again and again. `sent` maps each id to the values acknowledged then."""
+async def write_on(bed, gateway, number, until, acknowledged):
+    """One requester: writes, again and again. `acknowledged` maps the id of each write to when its answer came."""
     while time.monotonic() < until:
-        client = Client(bed, gateway, "own")
-        values = {}
+        client = Client(bed, gateway, "primary")
         try:
             if not await client.open():
+                await asyncio.sleep(0.1)
                 continue
-            for n in range(40):
-                if time.monotonic() > until:
-                    break
-                values = {"zone": f"s{number}v{n}"}
-                if (await client.ask(f"SET zone {values['zone']}"))[0] != "DONE":
-                    break
-                for _ in range(3):
-                    sent[f"c{client.number}x{client.statements + 1}"] = dict(values)
-                    await client.ask(f"WRITE k{number} data")
-                    await asyncio.sleep(0.01)
+            while time.monotonic() < until:
+                statement = f"c{client.number}x{client.statements + 1}"
+                word, _, _ = await client.ask(f"WRITE k{number} data", quiet=True)
+                if word == "DONE":
+                    acknowledged[statement] = time.monotonic()
+                await asyncio.sleep(0.02 if word == "DONE" else 0.1)
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.TimeoutError):
             bed.record(f"client {client.number} lost its connection")
         finally:
@@ -56,32 +39,49 @@
 
 
 async def run(trouble):
-    random.seed(5)
-    bed = Bed(FOLDER, gateways=2, member_class=GreyMember)
-    sent = {}
+    bed = Bed(FOLDER, gateways=3, make_group=SyncGroup, synchronous_replicas=1)
+    group, acknowledged, calls = bed.group, {}, []
+
+    async def promotion(method, path, query, body, headers):
+        """Answers promotion calls. With the trouble, the first call gets no answer and is carried out LATE_S later."""
+        calls.append(body)
+        if not trouble or len(calls) > 1:
+            return await bed.handle_promotion(method, path, query, body, headers)
+        bed.record(f"promotion call: {body['identifier']} fence {headers['fencing-token']} of "
+                   f"{headers['duty-holder']}; no answer")
+        asyncio.get_running_loop().call_later(
+            LATE_S, lambda: asyncio.ensure_future(bed.handle_promotion(method, path, query, body, headers)))
+        await asyncio.sleep(100)
+
     try:
-        await bed.start()
-        if trouble:
-            bed.group.members["i-1"].failed_share = FAILED_SHARE
-            bed.record(f"primary i-1 refuses {FAILED_SHARE} of its requests from now on")
+        bed.tasks.append(asyncio.create_task(group.replicate()))
+        await bed.start(promotion=promotion)
         until = time.monotonic() + SECONDS
-        await asyncio.gather(*(use_session(bed, bed.gateways[n % 2], n, until, sent) for n in range(SESSIONS)))
+        writers = [asyncio.create_task(write_on(bed, bed.gateways[n % 3], n, until, acknowledged))
+                   for n in range(WRITERS)]
+        await asyncio.sleep(2)
+        bed.record(f"the primary {group.primary} crashes for {DOWN_S} s")
+        primary = group.members[group.primary]
+        primary.crash()
+        await asyncio.sleep(DOWN_S)
+        primary.up = True
+        bed.record(f"{primary.name} is back, as {'primary' if group.primary == primary.name else 'replica'}")
+        await asyncio.gather(*writers)
     finally:
         await bed.stop()
-    wrong, checked = [], 0
-    committed = {it for _, _, writes in bed.group.log for it in writes}
-    for it in bed.group.executions:
-        if it["id"] in sent:
-            checked += 1
-            if it["values"] != sent[it["id"]]:
-                wrong.append(it)
-                bed.record(f"{it['id']} ran at {it['member']} with session values {it['values']}, acknowledged were "
-                           f"{sent[it['id']]}; {'committed' if it['id'] in committed else 'not committed'}")
-    bed.record.say(f"{checked} statements ran, {bed.group.members['i-1'].failed_sets} SETs were refused by the member, "
-                   f"{len(wrong)} statements ran with other session values than their requester's")
-    if checked < 100:
-        raise RuntimeError("too few statements ran")
-    return f"PINNED: {len(wrong)} statements ran with wrong session values" if wrong else None
+    lost = []
+    for when, name, dropped in group.promotions:
+        for position, _, writes in dropped:
+            for it in writes:
+                if acknowledged.get(it, when + 1) < when:
+                    lost.append(it)
+                    bed.record(f"commit {position[0]}.{position[1]} ({it}) was acknowledged "
+                               f"{(when - acknowledged[it]) * 1000:.0f} ms before {name} was promoted without it")
+    bed.record.say(f"{len(acknowledged)} writes acknowledged, {len(group.promotions)} promotions, {len(lost)} "
+                   f"acknowledged commits missing in the promoted member's log")
+    if len(acknowledged) < 200:
+        raise RuntimeError("too few writes were acknowledged")
+    return f"LOST: {len(lost)} acknowledged commits" if lost else None
 
 
 main(FOLDER, run)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,73 +1,87 @@
 #!/usr/bin/env python3
-"""A crowd of clients stops half-way in messages of legal size. The gateway grows over the memory of its machine."""
+"""A primary fails part of its requests while its health is good. A SET among them fails, and the write behind it runs."""
 import asyncio
-import os
 import pathlib
-import signal
+import random
 import sys
+import time
 
 sys.dont_write_bytecode = True
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib-2"))
-from bed import MEMORY_MB, Bed, Client, main  # noqa: E402
+from bed import Bed, Client, main  # noqa: E402
+from platform_standin import Member  # noqa: E402
 
-CROWD = 450  # connections; the machine has 6,300 descriptors
-SENT_BYTES = 1_000_000  # of each message, which may have 1 MiB
-CHECK_S = 0.05
+SECONDS = 6.5  # srv_grey: for_s 6.5 in the site files
+FAILED_SHARE = 0.4  # srv_grey: x (.4), how busy
+SESSIONS = 10
 
 
-async def enforce_memory(bed, gateway, peak):
-    """The platform: kills a process that exceeds the memory of its machine. Keeps the largest size in `peak`."""
-    while True:
-        size = gateway.resident_mb()
-        peak[0] = max(peak[0], size)
-        if size > MEMORY_MB and gateway.running():
-            bed.record.say(f"{gateway.name} holds {size:.0f} MB, over its {MEMORY_MB} MB, and is killed")
-            os.kill(gateway.process.pid, signal.SIGKILL)
-            return
-        await asyncio.sleep(CHECK_S)
+class GreyMember(Member):
+    """A member that refuses a share of its requests with BUSY, which means that they did not run; its health is good."""
+
+    failed_share = 0.0
+    failed_sets = 0
+
+    def run_statement(self, session, statement, text):
+        verb = text.split(" ")[2 if text.startswith("AFTER ") else 0]
+        if verb in ("SET", "PREPARE", "RESET", "READ", "WRITE", "EXECUTE") and random.random() < self.failed_share:
+            self.failed_sets += verb == "SET"
+            return self.fail_statement(session, "BUSY")
+        return super().run_statement(session, statement, text)
+
+
+async def use_session(bed, gateway, number, until, sent):
+    """One requester: sets a value and writes, again and again. `sent` maps each id to the values acknowledged then."""
+    while time.monotonic() < until:
+        client = Client(bed, gateway, "own")
+        values = {}
+        try:
+            if not await client.open():
+                continue
+            for n in range(40):
+                if time.monotonic() > until:
+                    break
+                values = {"zone": f"s{number}v{n}"}
+                if (await client.ask(f"SET zone {values['zone']}"))[0] != "DONE":
+                    break
+                for _ in range(3):
+                    sent[f"c{client.number}x{client.statements + 1}"] = dict(values)
+                    await client.ask(f"WRITE k{number} data")
+                    await asyncio.sleep(0.01)
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+            bed.record(f"client {client.number} lost its connection")
+        finally:
+            client.close()
 
 
 async def run(trouble):
-    bed = Bed(FOLDER, gateways=1, connections=16)
-    peak = [0]
-    streams = []
+    random.seed(5)
+    bed = Bed(FOLDER, gateways=2, member_class=GreyMember)
+    sent = {}
     try:
         await bed.start()
-        gateway = bed.gateways[0]
-        platform = asyncio.create_task(enforce_memory(bed, gateway, peak))
-        ordinary = Client(bed, gateway, "primary")
-        await ordinary.open()
-        await ordinary.ask("WRITE a before")
-        try:
-            for n in range(CROWD):
-                reader, writer = await asyncio.open_connection("127.0.0.1", gateway.front)
-                streams.append(writer)
-                writer.write(b"START db-primary crowd\r\n")
-                await asyncio.wait_for(reader.readuntil(b"\r\n"), 2)
-                data = b"a" * (SENT_BYTES if trouble else 20)
-                writer.write(b"QUERY m%d WRITE k %b" % (n, data) + (b"" if trouble else b"\r\n"))
-                await writer.drain()
-                if not trouble:
-                    await asyncio.wait_for(reader.readuntil(b"READY"), 5)
-                if n % 50 == 49:
-                    bed.record(f"{n + 1} clients, the gateway holds {gateway.resident_mb():.0f} MB")
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.TimeoutError) as ex:
-            bed.record(f"client {len(streams)} of the crowd: {type(ex).__name__}")
-        await asyncio.sleep(1)
-        lost = ""
-        try:
-            await ordinary.ask("WRITE a after")
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.TimeoutError) as ex:
-            lost = f"; the ordinary client's WRITE got no answer ({type(ex).__name__})"
-            bed.record("the ordinary client's WRITE got no answer")
-        platform.cancel()
+        if trouble:
+            bed.group.members["i-1"].failed_share = FAILED_SHARE
+            bed.record(f"primary i-1 refuses {FAILED_SHARE} of its requests from now on")
+        until = time.monotonic() + SECONDS
+        await asyncio.gather(*(use_session(bed, bed.gateways[n % 2], n, until, sent) for n in range(SESSIONS)))
     finally:
-        for it in streams:
-            it.transport.abort()
         await bed.stop()
-    bed.record.say(f"{len(streams)} clients, at most {peak[0]:.0f} MB")
-    return f"Fault: {peak[0]:.0f} MB, over {MEMORY_MB} MB{lost}" if peak[0] > MEMORY_MB else None
+    wrong, checked = [], 0
+    committed = {it for _, _, writes in bed.group.log for it in writes}
+    for it in bed.group.executions:
+        if it["id"] in sent:
+            checked += 1
+            if it["values"] != sent[it["id"]]:
+                wrong.append(it)
+                bed.record(f"{it['id']} ran at {it['member']} with session values {it['values']}, acknowledged were "
+                           f"{sent[it['id']]}; {'committed' if it['id'] in committed else 'not committed'}")
+    bed.record.say(f"{checked} statements ran, {bed.group.members['i-1'].failed_sets} SETs were refused by the member, "
+                   f"{len(wrong)} statements ran with other session values than their requester's")
+    if checked < 100:
+        raise RuntimeError("too few statements ran")
+    return f"PINNED: {len(wrong)} statements ran with wrong session values" if wrong else None
 
 
 main(FOLDER, run)
--- a/review/lib-2/bed.py
+++ b/review/lib-2/bed.py
@@ -132,12 +132,15 @@
 
 class Bed:
     def __init__(self, case_folder, gateways=2, members=("i-1", "i-2", "i-3"), connections=16, bounds=None,
-                 member_class=None):
+                 member_class=None, make_group=None, synchronous_replicas=0):
         self.record = Record(case_folder)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.bounds = {**BOUNDS, **(bounds or {})}
         self.store = Store()
         self.group = Group(SERVICE, list(members), connections, self.bounds["fencing_required"], 1)
+        self.synchronous_replicas = synchronous_replicas
+        if make_group:
+            self.group = make_group(SERVICE, list(members), connections, self.record)
         if member_class:
             self.group.members = {it: member_class(it, self.group) for it in members}
         self.count = gateways
@@ -145,6 +148,7 @@
         self.version = 0
         self.store_port = self.cloud_port = 0
         self.gateways = []
+        self.down_since = {}
 
     async def start(self, promotion=None):
         """Starts everything. `promotion` answers the promotion calls instead of the stand-in's own handler."""
@@ -188,7 +192,7 @@
         self.store.put("op/config", json.dumps(
             {"version": self.version, "routes": routes, "limits": {"transaction_idle_ms": 3000},
              "services": [{"name": SERVICE, "connection_limit": self.group.connections,
-                           "synchronous_replicas": 0}]}))
+                           "synchronous_replicas": self.synchronous_replicas}]}))
 
     async def publish_members(self):
         sequence = 0
@@ -196,12 +200,19 @@
             sequence += 1
             for n, (name, member) in enumerate(self.group.members.items()):
                 if member.up:
+                    self.down_since.pop(name, None)
                     self.store.put(f"servers/{name}", json.dumps(
                         {"service": SERVICE, "address": f"127.0.0.1:{member.port}", "zone": f"z{n}", "version": "v1",
                          "slots": 2, "state": "ready", "cold_remaining_ms": 0, "sequence": sequence, "born": 1,
                          "database_role": "primary" if self.group.primary == name else "replica"}))
+                elif f"servers/{name}" in self.store.items and self.silent_for(name) > 3 * 1.2:
+                    self.store.remove(f"servers/{name}")
             await asyncio.sleep(0.6)
 
+    def silent_for(self, name):
+        """Returns how long a member that is down has been seen down, in s."""
+        return time.monotonic() - self.down_since.setdefault(name, time.monotonic())
+
     async def stop(self):
         for it in self.gateways:
             if it.running():
