--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,7 +9,7 @@
 sys.dont_write_bytecode = True
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib-2"))
-from bed import Bed, Client, main  # noqa: E402
+from bed import Bed, CannotRun, Client, main  # noqa: E402
 from sync_group import SyncGroup  # noqa: E402
 
 DOWN_S = 0.6  # the primary; srv_crash has for_s 7
@@ -85,7 +85,7 @@
     bed.record.say(f"{len(acknowledged)} writes acknowledged, {len(group.promotions)} promotions, {len(lost)} "
                    f"acknowledged commits missing in the promoted member's log")
     if len(acknowledged) < 200:
-        raise RuntimeError("too few writes were acknowledged")
+        raise CannotRun("too few writes were acknowledged")
     return f"LOST: {len(lost)} acknowledged commits" if lost else None
 
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -9,7 +9,7 @@
 sys.dont_write_bytecode = True
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib-2"))
-from bed import Bed, Client, main  # noqa: E402
+from bed import Bed, CannotRun, Client, main  # noqa: E402
 from platform_standin import Member  # noqa: E402
 
 SECONDS = 6.5  # srv_grey: for_s 6.5 in the site files
@@ -80,7 +80,7 @@
     bed.record.say(f"{checked} statements ran, {bed.group.members['i-1'].failed_sets} SETs were refused by the member, "
                    f"{len(wrong)} statements ran with other session values than their requester's")
     if checked < 100:
-        raise RuntimeError("too few statements ran")
+        raise CannotRun("too few statements ran")
     return f"PINNED: {len(wrong)} statements ran with wrong session values" if wrong else None
 
 
--- a/review/lib-2/bed.py
+++ b/review/lib-2/bed.py
@@ -285,6 +285,9 @@
     except asyncio.TimeoutError:
         print("cannot run: over its time")
         sys.exit(2)
+    except Exception as ex:  # a fault of the script must not pass for a broken rule
+        print(f"cannot run: {type(ex).__name__}: {ex}")
+        sys.exit(2)
     if broken:
         print(f"broken: {broken}")
         sys.exit(1)
