--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # repository that use the standard library only, so there is nothing to compile; this checks that they can be run.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-python3 - soak/platform_standin.py review/lib-2/*.py review/{6,7,8,9,10}/*.py <<'CHECK'
+python3 - soak/platform_standin.py review/lib-2/*.py review/{6,7,8,9,10}/*.py review/found-2/*/*.py <<'CHECK'
 import pathlib
 import sys
 for it in sys.argv[1:]:
