--- a/review/lib-2/bed.py
+++ b/review/lib-2/bed.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -33,11 +34,22 @@
     """The case could not be run."""
 
 
+_given_ports = set()
+_port_choice = random.SystemRandom()  # scripts seed the module's own generator
+
+
 def free_port():
-    with socket.socket() as it:
-        it.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        it.bind(("127.0.0.1", 0))
-        return it.getsockname()[1]
+    """Returns a free port below the ephemeral ones, which outgoing connections may take at any moment."""
+    while True:
+        port = _port_choice.randint(10000, 17900)
+        with socket.socket() as it:
+            try:
+                it.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in _given_ports:
+            _given_ports.add(port)
+            return port
 
 
 def gateway_command():
