--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,9 +13,12 @@
 from sync_group import SyncGroup  # noqa: E402
 
 DOWN_S = 0.6  # the primary; srv_crash has for_s 7
-LATE_S = 3.0  # applied_late: carried out 2 to 12 s later
-ROUND_S = 6.5  # from one crash to the next; no order is open any more then
-ROUNDS = 7  # which replica is ahead by some milliseconds when the order is carried out is chance
+LATE_S = 2.2  # applied_late: carried out 2 to 12 s later
+# One order of three gets no answer, a share of 0.33; the site's list of troubles has applied_late with x = 0.35. Which
+# replica is ahead by some milliseconds when it is carried out is chance, so there are several rounds.
+LOST_ORDERS = 8
+ROUNDS_PER_LOST_ORDER = 3
+LATE_ROUND_S, ROUND_S = 4.4, 2.8  # from one crash to the next; no order is open any more then
 WRITERS = 12
 
 
@@ -45,7 +48,7 @@
     lose_call = [False]
 
     async def promotion(method, path, query, body, headers):
-        """Answers promotion calls. With the trouble, the first one of a round gets no answer and is carried out late."""
+        """Answers promotion calls. With the trouble, one of three gets no answer and is carried out late."""
         if not lose_call[0]:
             return await bed.handle_promotion(method, path, query, body, headers)
         lose_call[0] = False
@@ -58,19 +61,20 @@
     try:
         bed.tasks.append(asyncio.create_task(group.replicate()))
         await bed.start(promotion=promotion)
-        until = time.monotonic() + 1 + ROUNDS * ROUND_S
+        until = time.monotonic() + 1 + LOST_ORDERS * (LATE_ROUND_S + (ROUNDS_PER_LOST_ORDER - 1) * ROUND_S)
         writers = [asyncio.create_task(write_on(bed, bed.gateways[n % 3], n, until, acknowledged))
                    for n in range(WRITERS)]
         await asyncio.sleep(1)
-        for _ in range(ROUNDS):
+        for number in range(LOST_ORDERS * ROUNDS_PER_LOST_ORDER):
+            late = number % ROUNDS_PER_LOST_ORDER == 0
             primary = group.members[group.primary]
             bed.record(f"the primary {primary.name} crashes for {DOWN_S} s")
-            lose_call[0] = trouble
+            lose_call[0] = trouble and late
             primary.crash()
             await asyncio.sleep(DOWN_S)
             primary.up = True
             bed.record(f"{primary.name} is back, as {'primary' if group.primary == primary.name else 'replica'}")
-            await asyncio.sleep(ROUND_S - DOWN_S)
+            await asyncio.sleep((LATE_ROUND_S if late else ROUND_S) - DOWN_S)
         await asyncio.gather(*writers)
     finally:
         await bed.stop()
--- a/review/lib-2/sync_group.py
+++ b/review/lib-2/sync_group.py
@@ -65,9 +65,11 @@
             mine = len(self.group.log) if len(self.group.log) > before else 0
             if takes_time:
                 await asyncio.sleep(self.service_time_s * random.uniform(0.5, 2))
-            while mine and not self.group.is_replicated(mine):
+            while mine:
                 if self.group.term != term:
-                    lines = [f"ERROR UNKNOWN {self.name}"]  # it lost the lead before a replica had the commit
+                    lines = [f"ERROR UNKNOWN {self.name}"]  # it lost the lead before the commit was acknowledged
+                    break
+                if self.group.is_replicated(mine):
                     break
                 await asyncio.sleep(0.001)
             out = "".join(it + "\r\n" for it in lines)
