Promotion duty: a member's answer to a resume is logged, and awaited

Before, a RESUME was sent and forgotten: neither the logs nor the holder could tell a member that was resumed from one that stayed paused, or when it was. Event 750 names the member and what became of its pause; 'none' means that it did not answer.

--- a/kingcuplock/base/log.cc
+++ b/kingcuplock/base/log.cc
@@ -117,6 +117,7 @@
     {kStoreRestored, kWarning, "store restored from an older copy"},
     {kStoreItemIgnored, kWarning, "store item ignored, not newer"},
     {kOlderRoutesIgnored, kWarning, "route table ignored, not newer"},
+    {kMemberResumeAnswered, kInfo, "member answered a resume"},
     {kUnknownKeyRefused, kWarning, "client with an unknown key refused"},
     {kSessionKeyRemoved, kInfo, "key of an open session removed"},
     {kQuotaExceeded, kWarning, "tenant is beyond its limit"},
--- a/kingcuplock/base/log.h
+++ b/kingcuplock/base/log.h
@@ -87,6 +87,7 @@
   kStoreRestored = 747,
   kStoreItemIgnored = 748,
   kOlderRoutesIgnored = 749,
+  kMemberResumeAnswered = 750,
   kUnknownKeyRefused = 760,
   kSessionKeyRemoved = 761,
   kQuotaExceeded = 762,
--- a/kingcuplock/gateway/group.h
+++ b/kingcuplock/gateway/group.h
@@ -144,11 +144,13 @@
       -> void;
 
   /// Requests the status of a member. A `pause_term` other than 0 also makes it
-  /// stop receiving the primary's log ahead of a promotion to that term. Calls
-  /// back with nullptr if the member can't be asked or does not answer in time.
+  /// stop receiving the primary's log ahead of a promotion to that term. From
+  /// `not_after` on nothing is sent. Calls back with nullptr if the member
+  /// can't be asked or does not answer in time.
   auto RequestMemberStatus(const std::string& member,
                            std::int64_t pause_term,
-                           std::function<void(const MemberReport*)> callback)
+                           std::function<void(const MemberReport*)> callback,
+                           std::optional<Time> not_after = std::nullopt)
       -> void;
 
   /// Turns a primary of a term below `term` into a replica. Calls back as
@@ -192,8 +194,13 @@
                  std::function<void(std::optional<Time>)> callback) -> void;
 
   /// Lets a paused member receive the primary's log again. From `not_after` on,
-  /// when another holder may have paused it, nothing is sent.
-  auto ResumeReplication(const std::string& member, Time not_after) -> void;
+  /// when another holder may have paused it, nothing is sent. Calls back as
+  /// RequestMemberStatus() does; without an answer, the member may resume
+  /// later.
+  auto ResumeReplication(const std::string& member,
+                         Time not_after,
+                         std::function<void(const MemberReport*)> callback)
+      -> void;
 
   /// Returns what this instance knows of the primary, as a report for peers.
   auto MakeReport() const -> GroupReport;
@@ -307,7 +314,8 @@
   auto OnReachChanged(const std::string& member, Reach reach) -> void;
   auto RequestMemberReport(const std::string& member,
                            SessionStatement ask,
-                           std::function<void(const MemberReport*)> callback)
+                           std::function<void(const MemberReport*)> callback,
+                           std::optional<Time> not_after = std::nullopt)
       -> void;
 
   // Grants.
--- a/kingcuplock/gateway/group_outcome.cc
+++ b/kingcuplock/gateway/group_outcome.cc
@@ -413,11 +413,12 @@
 auto Group::RequestMemberStatus(
     const std::string& member,
     std::int64_t pause_term,
-    std::function<void(const MemberReport*)> callback) -> void {
+    std::function<void(const MemberReport*)> callback,
+    std::optional<Time> not_after) -> void {
   SessionStatement ask;
   ask.kind = pause_term == 0 ? StatementKind::kStatus : StatementKind::kPause;
   ask.arguments = pause_term == 0 ? "" : std::to_string(pause_term);
-  RequestMemberReport(member, std::move(ask), std::move(callback));
+  RequestMemberReport(member, std::move(ask), std::move(callback), not_after);
 }
 
 auto Group::Demote(const std::string& member,
@@ -432,11 +433,14 @@
 auto Group::RequestMemberReport(
     const std::string& member,
     SessionStatement ask,
-    std::function<void(const MemberReport*)> callback) -> void {
+    std::function<void(const MemberReport*)> callback,
+    std::optional<Time> not_after) -> void {
   const auto it = members_.find(member);
   const auto pool = it == members_.end() ? nullptr : it->second.pool;
-  const auto link = pool ? pool->Acquire({}, nullptr, ConnectionUse::kControl)
-                         : ConnectionId{0};
+  const auto late = not_after && timers_.Now() >= *not_after;
+  const auto link = pool && !late
+                        ? pool->Acquire({}, nullptr, ConnectionUse::kControl)
+                        : ConnectionId{0};
   if (link == 0) {
     callback(nullptr);
     return;
@@ -450,7 +454,8 @@
     }
   });
   pool->RunStatement(
-      link, std::move(ask), [=, this](const StatementAnswer* answer) {
+      link, std::move(ask),
+      [=, this](const StatementAnswer* answer) {
         if (std::exchange(*answered, true)) {
           return;
         }
@@ -463,22 +468,16 @@
         auto report = *answer->status;
         report.connected_since = connected_since;
         callback(&report);
-      });
+      },
+      MemberConnectionPool::kDefaultAnswerTimeout, not_after);
 }
 
-auto Group::ResumeReplication(const std::string& member, Time not_after)
+auto Group::ResumeReplication(const std::string& member,
+                              Time not_after,
+                              std::function<void(const MemberReport*)> callback)
     -> void {
-  const auto it = members_.find(member);
-  if (it == members_.end() || timers_.Now() >= not_after) {
-    return;
-  }
-  const auto pool = it->second.pool;
-  if (const auto link = pool->Acquire({}, nullptr, ConnectionUse::kControl)) {
-    pool->RunStatement(
-        link, {.kind = StatementKind::kResume}, [](const StatementAnswer*) {},
-        MemberConnectionPool::kDefaultAnswerTimeout, not_after);
-    pool->Release(link);
-  }
+  RequestMemberReport(member, {.kind = StatementKind::kResume},
+                      std::move(callback), not_after);
 }
 
 /// Requests a sample of the primary's position, from the primary and, if that
--- a/kingcuplock/gateway/promotion_duty.cc
+++ b/kingcuplock/gateway/promotion_duty.cc
@@ -435,10 +435,23 @@
   paused_ = false;
   permit_.NoteMembersResumed();
   for (const auto& it : group_.MemberNames()) {
-    group_.ResumeReplication(it, callbacks_.lease_valid_until());
+    ResumeMember(it);
   }
 }
 
+auto PromotionDuty::ResumeMember(const std::string& member) -> void {
+  group_.ResumeReplication(
+      member, callbacks_.lease_valid_until(),
+      guard_.Bind([this, member](const MemberReport* report) {
+        log_.Log(Event::kMemberResumeAnswered,
+                 {{"group", group_.config().name},
+                  {"member", member},
+                  {"paused_term", report != nullptr
+                                      ? std::to_string(report->paused_term)
+                                      : "none"}});
+      }));
+}
+
 auto PromotionDuty::LogAbandoned(std::string_view outcome) -> void {
   log_.Log(Event::kPromotionEvaluated, {{"group", group_.config().name},
                                         {"primary", group_.primary().member()},
--- a/kingcuplock/gateway/promotion_duty.h
+++ b/kingcuplock/gateway/promotion_duty.h
@@ -200,6 +200,7 @@
   auto RecordAndOrder(const std::string& member) -> void;
   auto OrderWhenPermitted(const std::string& member) -> void;
   auto ResumeMembers() -> void;
+  auto ResumeMember(const std::string& member) -> void;
   auto AbandonAttempt(std::string_view outcome) -> void;
   auto LogAbandoned(std::string_view outcome) -> void;
   auto IsCandidate(const std::string& member) const -> bool;
