Gateway: a statement is sent after the member has confirmed what it depends on

Cause: SET, RESET and PREPARE were sent with the statement right behind, and the connection's state was recorded when they were sent. A member that refuses one of them runs what follows.

The log said link_lost for all; event 701 now says state_refused.

Why it works: the statement goes out with the member's last answer, and the state is recorded with each answer, so that a refusal without a run leaves a known connection. A BEGIN still goes out behind the state, without a client's id, as the statement waits for its answer anyway. What was not sent, or refused without a run, is no longer called unknown, nor is a write that was held back beyond its grant.

--- a/kingcuplock/gateway/gateway.cc
+++ b/kingcuplock/gateway/gateway.cc
@@ -282,6 +282,14 @@
   }
 }
 
+auto Gateway::OnMemberStatementNotSent(ConnectionId connection) -> void {
+  for (auto& [name, group] : groups_) {
+    if (group->OnNotSent(connection)) {
+      return;
+    }
+  }
+}
+
 // ---------------------------------------------- configuration, membership
 
 auto Gateway::FindGroup(const std::string& group) -> Group* {
--- a/kingcuplock/gateway/gateway.h
+++ b/kingcuplock/gateway/gateway.h
@@ -125,6 +125,10 @@
   /// member could be reached.
   auto OnMemberClosed(ConnectionId connection, Reach reason) -> void;
 
+  /// Handles that the newest statement was not sent, since it was too late for
+  /// that, and that the connection has ended.
+  auto OnMemberStatementNotSent(ConnectionId connection) -> void;
+
   /// Treats the store as replaced by another one, after a change of its
   /// address: nothing read from the former one is compared with the new one.
   auto OnStoreReplaced() -> void;
--- a/kingcuplock/gateway/gateway_schedules_test.cc
+++ b/kingcuplock/gateway/gateway_schedules_test.cc
@@ -20,12 +20,14 @@
 
 /// Faults besides the usual ones: restores of the store from older copies, or
 /// restarts of the holder and the members around a promotion, also with a
-/// synchronous replica and replicas that fall behind by turns.
+/// synchronous replica and replicas that fall behind by turns, or members that
+/// refuse statements of any kind.
 enum class ExtraFaults {
   kNone,
   kRestores,
   kPromotionRestarts,
-  kSynchronousReplica
+  kSynchronousReplica,
+  kRefusals
 };
 
 /// One random run, determined by its seed.
@@ -179,6 +181,10 @@
       }
     }
     const auto member = fmt::format("m{}", RandomInt(1, 3));
+    if (extra_faults_ == ExtraFaults::kRefusals && RandomInt(0, 2) == 0) {
+      RefuseStatements(member);
+      return;
+    }
     const auto gateway = static_cast<std::size_t>(RandomInt(0, 2));
     switch (RandomInt(0, fenced_ ? 8 : 14)) {
       case 0:
@@ -243,6 +249,22 @@
     }
   }
 
+  // The member refuses a share of its statements from now on, or none, or loses
+  // answers to statements that set a connection's state.
+  auto RefuseStatements(const std::string& member) -> void {
+    const auto share = RandomInt(0, 2) == 0 ? RandomInt(5, 60) : 0;
+    world_.group().SetRefusals(member, [this, share](StatementKind) {
+      if (RandomInt(0, 99) >= share) {
+        return StatementError::kNone;
+      }
+      const StatementError errors[] = {
+          StatementError::kBusy, StatementError::kBusy, StatementError::kFailed,
+          StatementError::kTimeout};
+      return errors[RandomInt(0, 3)];
+    });
+    world_.LoseStateAnswers(member, RandomInt(0, 3) == 0 ? 1 : 0);
+  }
+
   auto RestartGateway(std::size_t gateway) -> void {
     world_.KillGateway(gateway);
     world_.RunFor(Milliseconds(RandomInt(5, 400)));
@@ -349,6 +371,19 @@
 
 TEST_SUITE_END();
 
+TEST_SUITE_BEGIN("refusals");
+
+// Guards against all that is presumed at a member before it has answered.
+TEST_CASE("Guarantees hold while members refuse statements") {
+  RunSchedules(true, ExtraFaults::kRefusals);
+}
+
+TEST_CASE("Guarantees hold without fencing while members refuse statements") {
+  RunSchedules(false, ExtraFaults::kRefusals);
+}
+
+TEST_SUITE_END();
+
 TEST_SUITE_BEGIN("restored_store");
 
 // Guards against all that is kept from a store beyond its restore: duties and
--- a/kingcuplock/gateway/group.cc
+++ b/kingcuplock/gateway/group.cc
@@ -342,6 +342,11 @@
       [&](MemberConnectionPool& it) { return it.OnClosed(link, reason); });
 }
 
+auto Group::OnNotSent(ConnectionId link) -> bool {
+  return HandledByAnyPool(
+      [&](MemberConnectionPool& it) { return it.OnNotSent(link); });
+}
+
 // --------------------------------------------------------------- dispatch
 
 auto Group::Submit(const StatementTaskPtr& task) -> void {
--- a/kingcuplock/gateway/group.h
+++ b/kingcuplock/gateway/group.h
@@ -228,6 +228,7 @@
   auto OnOpened(ConnectionId link) -> bool;
   auto OnAnswer(ConnectionId link, const StatementAnswer& answer) -> bool;
   auto OnClosed(ConnectionId link, Reach reason) -> bool;
+  auto OnNotSent(ConnectionId link) -> bool;
 
  private:
   /// A registered member, its connections and its state as known here.
--- a/kingcuplock/gateway/member_connection_pool.cc
+++ b/kingcuplock/gateway/member_connection_pool.cc
@@ -265,25 +265,54 @@
 
 auto MemberConnectionPool::ApplySessionState(ConnectionId id,
                                              const SessionState& session,
-                                             const PreparedStatement* prepared)
-    -> std::string {
+                                             const PreparedStatement* prepared,
+                                             SessionStateCallback callback)
+    -> bool {
   const auto it = connections_.find(id);
   if (it == connections_.end()) {
-    return {};
+    callback({SessionStateOutcome::kConnectionLost});
+    return false;
   }
   std::vector<SessionStatement> statements;
-  auto name =
+  auto replay = std::make_shared<Replay>();
+  replay->result.prepared_name =
       it->second.session_state.PlanReplay(session, prepared, statements);
-  for (auto& statement : statements) {
-    RunStatement(id, std::move(statement),
-                 [this, id](const StatementAnswer* answer) {
-                   if (answer != nullptr && !answer->IsOk()) {
-                     // The session state of the connection is no longer known.
-                     Discard(id);
-                   }
+  if (statements.empty()) {
+    callback(replay->result);
+    return false;
+  }
+  replay->callback = std::move(callback);
+  replay->missing = statements.size();
+  for (const auto& statement : statements) {
+    RunStatement(id, statement,
+                 [this, id, statement, replay](const StatementAnswer* answer) {
+                   OnReplayAnswered(id, statement, answer, replay);
                  });
   }
-  return name;
+  return true;
+}
+
+auto MemberConnectionPool::OnReplayAnswered(
+    ConnectionId id,
+    const SessionStatement& statement,
+    const StatementAnswer* answer,
+    const std::shared_ptr<Replay>& replay) -> void {
+  auto& outcome = replay->result.outcome;
+  if (answer == nullptr) {
+    outcome = SessionStateOutcome::kConnectionLost;
+  } else if (answer->IsOk()) {
+    connections_.at(id).session_state.NoteApplied(statement);
+  } else {
+    outcome = SessionStateOutcome::kRefused;
+    replay->unclear = replay->unclear || !MeansNotRun(answer->error);
+  }
+  if (--replay->missing > 0) {
+    return;
+  }
+  replay->callback(replay->result);
+  if (answer != nullptr && replay->unclear) {
+    Discard(id);
+  }
 }
 
 auto MemberConnectionPool::RunStatement(ConnectionId id,
@@ -492,6 +521,27 @@
   return true;
 }
 
+auto MemberConnectionPool::OnNotSent(ConnectionId id) -> bool {
+  const auto keep_alive = weak_from_this().lock();
+  const auto it = connections_.find(id);
+  if (it == connections_.end()) {
+    return false;
+  }
+  if (!it->second.pending.empty()) {
+    const auto ended = std::move(it->second.pending.back());
+    it->second.pending.pop_back();
+    if (ended.counts_in_flight) {
+      flights_.NoteEnd(timers_.Now());
+    }
+    StatementAnswer answer;
+    answer.error = StatementError::kAborted;
+    answer.text = "it was not sent in time and has not run; send it again";
+    ended.callback(&answer);
+  }
+  Discard(id);
+  return true;
+}
+
 // Sets the member's reachability. Only an attempt to open a connection changes
 // it. The attempt succeeds once the member has answered the hello, as
 // another process may accept connections at its address. The end of an open
--- a/kingcuplock/gateway/member_connection_pool.h
+++ b/kingcuplock/gateway/member_connection_pool.h
@@ -40,6 +40,27 @@
 /// ended first.
 using MemberAnswerCallback = std::function<void(const StatementAnswer*)>;
 
+/// What has become of a connection that was to get a session's state.
+enum class SessionStateOutcome {
+  /// The member has confirmed it, or had it before.
+  kApplied,
+  /// The member refused a part of it. A connection whose state is no longer
+  /// known is closed.
+  kRefused,
+  /// The connection ended first.
+  kConnectionLost
+};
+
+/// Answer to MemberConnectionPool::ApplySessionState().
+struct SessionStateResult {
+  SessionStateOutcome outcome = SessionStateOutcome::kApplied;
+  /// Name of the prepared statement on the connection, empty for none.
+  std::string prepared_name = {};
+};
+
+/// Called once with the result.
+using SessionStateCallback = std::function<void(const SessionStateResult&)>;
+
 /// Callbacks of a pool.
 struct MemberConnectionPoolCallbacks {
   /// A connection became free, or a statement that had to wait may now start.
@@ -135,12 +156,16 @@
   auto EnsureOpening(ConnectionUse connection_use, std::string_view tenant = {})
       -> bool;
 
-  /// Sends the statements that give a lent connection the state of `session`
-  /// before its next statement. Returns the name of `prepared` on the
-  /// connection; empty for nullptr or if the connection has ended.
+  /// Gives a lent connection the state of `session`, with `prepared` unless it
+  /// is nullptr. Calls back at once if it has that state, otherwise with the
+  /// member's last answer and before the answer to any later statement. A
+  /// statement that depends on the state must not be sent earlier: a member may
+  /// refuse a part of the state and run what follows. Returns whether the
+  /// member was asked.
   auto ApplySessionState(ConnectionId connection,
                          const SessionState& session,
-                         const PreparedStatement* prepared) -> std::string;
+                         const PreparedStatement* prepared,
+                         SessionStateCallback callback) -> bool;
 
   /// Default time in ms for an answer, as for the gateway's own statements.
   static constexpr Milliseconds kDefaultAnswerTimeout{1000};
@@ -148,7 +173,8 @@
   /// Sends a statement on a lent connection and calls `callback` with its
   /// answer. Answers arrive in the order of their statements. If there is no
   /// answer after `timeout`, the connection is closed. From `not_after` on the
-  /// statement is no longer sent, and the connection ends instead.
+  /// statement is no longer sent; it is then answered with kAborted, and the
+  /// connection ends.
   auto RunStatement(ConnectionId connection,
                     SessionStatement statement,
                     MemberAnswerCallback callback,
@@ -186,6 +212,8 @@
   auto OnOpened(ConnectionId connection) -> bool;
   auto OnAnswer(ConnectionId connection, const StatementAnswer& answer) -> bool;
   auto OnClosed(ConnectionId connection, Reach reason) -> bool;
+  /// The newest statement was not sent, because its time was over.
+  auto OnNotSent(ConnectionId connection) -> bool;
 
  private:
   /// kReleasePending: released while answers are outstanding.
@@ -213,6 +241,21 @@
     Time accepted_since{};
   };
 
+  /// Statements that give a connection a session's state.
+  struct Replay {
+    SessionStateResult result;
+    SessionStateCallback callback;
+    /// Number of statements without an answer.
+    std::size_t missing = 0;
+    /// Whether the member may have run a statement that it answered with an
+    /// error.
+    bool unclear = false;
+  };
+
+  auto OnReplayAnswered(ConnectionId id,
+                        const SessionStatement& statement,
+                        const StatementAnswer* answer,
+                        const std::shared_ptr<Replay>& replay) -> void;
   auto OpenOne(std::string_view tenant = {}) -> void;
   auto CloseIdleOfOtherTenant(std::string_view tenant) -> void;
   auto MayOpen(ConnectionUse connection_use) const -> bool;
--- a/kingcuplock/gateway/session.h
+++ b/kingcuplock/gateway/session.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "kingcuplock/actions/outbox.h"
 #include "kingcuplock/admission/planned_stop.h"
@@ -122,9 +123,15 @@
   auto OnTaskDone(StatementTaskResult result) -> void;
   auto RunPinned(SessionStatement statement,
                  std::optional<PreparedStatement> prepared) -> void;
+  auto OnPinnedStateApplied(SessionStatement statement,
+                            const SessionStateResult& state) -> void;
   auto SendPinned(SessionStatement statement, std::optional<Time> not_after)
       -> void;
+  auto StartPinnedDeadline() -> void;
   auto OnCommitGrantMissing() -> void;
+  auto AbortUnsent(const PinnedConnection& pinned,
+                   std::string_view why,
+                   std::string text) -> void;
   auto LogPinned(const StatementAnswer* answer) -> void;
   auto OnPinnedAnswer(const StatementAnswer* answer) -> void;
   auto OnPinnedDeadline() -> void;
--- a/kingcuplock/gateway/session_transaction.cc
+++ b/kingcuplock/gateway/session_transaction.cc
@@ -23,10 +23,33 @@
                         std::optional<PreparedStatement> prepared) -> void {
   const auto* runs = prepared ? &*prepared : nullptr;
   has_writes_ = has_writes_ || IsWrite(statement, runs);
-  const auto name =
-      pinned_.pool->ApplySessionState(pinned_.link, *session_state_, runs);
+  const auto asked = pinned_.pool->ApplySessionState(
+      pinned_.link, *session_state_, runs,
+      guard_.Bind([this, statement = std::move(statement)](
+                      const SessionStateResult& state) {
+        OnPinnedStateApplied(statement, state);
+      }));
+  if (asked) {
+    StartPinnedDeadline();
+  }
+}
+
+auto Session::OnPinnedStateApplied(SessionStatement statement,
+                                   const SessionStateResult& state) -> void {
+  timers_.Cancel(std::exchange(pinned_deadline_, 0));
+  if (!pinned_) {
+    return;
+  }
+  if (state.outcome != SessionStateOutcome::kApplied) {
+    auto pinned = std::exchange(pinned_, {});
+    RollBackAndRelease(pinned.pool, pinned.link, "");
+    AbortUnsent(pinned, "the session's state was not confirmed",
+                "the member did not take the session's values; the transaction "
+                "is rolled back, start it again");
+    return;
+  }
   if (statement.kind == StatementKind::kExecute) {
-    statement.name = name;
+    statement.name = state.prepared_name;
   }
   auto* group = callbacks_.group(route_.group);
   const auto needs_grant = statement.kind == StatementKind::kCommit &&
@@ -51,30 +74,49 @@
 
 // No grant says that the member still leads, so the commit is not sent.
 auto Session::OnCommitGrantMissing() -> void {
+  auto pinned = std::exchange(pinned_, {});
+  pinned.pool->Discard(pinned.link);
+  AbortUnsent(pinned, "no grant for the primary",
+              "the primary may have been replaced; the transaction is rolled "
+              "back, start it again");
+}
+
+// Answers the running statement, which was not sent, after the end of its
+// transaction on the connection `pinned`.
+auto Session::AbortUnsent(const PinnedConnection& pinned,
+                          std::string_view why,
+                          std::string text) -> void {
   log_.Log(Event::kStatementRefused, {{"request", current_.id},
                                       {"client", std::to_string(client_)},
                                       {"group", route_.group},
-                                      {"member", pinned_.pool->entry().member},
+                                      {"member", pinned.pool->entry().member},
                                       {"transaction", begin_id_},
-                                      {"outcome", "no grant for the primary"}});
-  ReleasePinned(false);
-  transaction_state_ = TransactionState::kIdle;
+                                      {"outcome", std::string(why)}});
+  transaction_state_ = current_.kind == StatementKind::kCommit
+                           ? TransactionState::kIdle
+                           : TransactionState::kFailed;
   StatementAnswer answer;
   answer.error = StatementError::kAborted;
-  answer.text =
-      "the primary may have been replaced; the transaction is rolled back, "
-      "start it again";
+  answer.text = std::move(text);
   Answer(std::move(answer));
 }
 
 auto Session::SendPinned(SessionStatement statement,
                          std::optional<Time> not_after) -> void {
   pinned_sent_ = timers_.Now();
-  // If a statement is lost, the transaction is rolled back soon, so that the
-  // client can start it again. A lost commit has an unknown outcome, so its
-  // answer is awaited for the whole timeout.
+  StartPinnedDeadline();
+  pinned_.pool->RunStatement(
+      pinned_.link, std::move(statement),
+      guard_.Bind([this](const StatementAnswer* it) { OnPinnedAnswer(it); }),
+      2 * Duration(Milliseconds(route_.timeout_ms)), not_after);
+}
+
+// If a statement is lost, the transaction is rolled back soon, so that the
+// client can start it again. A lost commit has an unknown outcome, so its
+// answer is awaited for the whole timeout.
+auto Session::StartPinnedDeadline() -> void {
   const auto timeout =
-      statement.kind == StatementKind::kCommit
+      current_.kind == StatementKind::kCommit
           ? Duration(Milliseconds(route_.timeout_ms))
           : std::min<Duration>(
                 Milliseconds(route_.timeout_ms),
@@ -82,10 +124,6 @@
                                    kMinStatementTimeout));
   pinned_deadline_ =
       timers_.After(timeout, guard_.Bind([this] { OnPinnedDeadline(); }));
-  pinned_.pool->RunStatement(
-      pinned_.link, std::move(statement),
-      guard_.Bind([this](const StatementAnswer* it) { OnPinnedAnswer(it); }),
-      2 * Duration(Milliseconds(route_.timeout_ms)), not_after);
 }
 
 auto Session::OnPinnedDeadline() -> void {
--- a/kingcuplock/gateway/statement_task_runner.cc
+++ b/kingcuplock/gateway/statement_task_runner.cc
@@ -8,6 +8,8 @@
   switch (retry_reason) {
     case RetryReason::kBusy:
       return "busy";
+    case RetryReason::kStateRefused:
+      return "state_refused";
     case RetryReason::kReadOnly:
       return "read_only";
     case RetryReason::kLagging:
@@ -47,8 +49,8 @@
   StatementTaskPtr task;
   std::shared_ptr<MemberConnectionPool> pool;
   ConnectionId link = 0;
-  /// Name of the task's prepared statement on this connection.
-  std::string prepared_name;
+  /// What became of the session's state on this connection.
+  SessionStateResult state;
   /// Lowest log position at which a replica may run the statement.
   std::optional<LogPosition> floor;
   /// When the newest statement of the attempt was sent.
@@ -79,26 +81,52 @@
   attempt->floor = task->floor;
   ++task->attempts;
   ++task->running_attempts;
-  attempt->prepared_name = attempt->pool->ApplySessionState(
-      link, *task->session, task->prepared_ptr());
+  const auto asked = attempt->pool->ApplySessionState(
+      link, *task->session, task->prepared_ptr(),
+      [this, attempt](const SessionStateResult& it) {
+        attempt->state = it;
+        if (!attempt->needs_begin()) {
+          OnStateApplied(attempt);
+        }
+      });
   if (attempt->needs_begin()) {
-    SendBegin(attempt);
-  } else {
-    SendTaskStatement(attempt);
+    SendBegin(attempt, !asked);
   }
 }
 
-auto StatementTaskRunner::SendBegin(const AttemptPtr& attempt) -> void {
+auto StatementTaskRunner::OnStateApplied(const AttemptPtr& attempt) -> void {
+  switch (attempt->state.outcome) {
+    case SessionStateOutcome::kConnectionLost:
+      EndWithoutEffect(attempt, RetryReason::kLinkLost);
+      return;
+    case SessionStateOutcome::kRefused:
+      attempt->pool->Release(attempt->link);
+      EndWithoutEffect(attempt, RetryReason::kStateRefused);
+      return;
+    case SessionStateOutcome::kApplied:
+      break;
+  }
+  if (attempt->task->done) {
+    --attempt->task->running_attempts;
+    attempt->pool->Release(attempt->link);
+    return;
+  }
+  SendTaskStatement(attempt);
+}
+
+auto StatementTaskRunner::SendBegin(const AttemptPtr& attempt,
+                                    bool state_confirmed) -> void {
   const auto& task = *attempt->task;
   const auto read_only = task.access == StatementAccess::kReplicaRead;
   SessionStatement begin;
   begin.kind =
       read_only ? StatementKind::kBeginReadOnly : StatementKind::kBegin;
-  // The client's id is used only if the client sent the same text.
+  // The client's id is used only if the client sent the same text, and if the
+  // member is known to run it with the session's values.
   const auto same_text =
       (task.opening == TransactionOpening::kReadOnly && read_only) ||
       (task.opening == TransactionOpening::kReadWrite && !read_only);
-  begin.id = same_text ? task.begin_id : "";
+  begin.id = same_text && state_confirmed ? task.begin_id : "";
   begin.after = read_only ? attempt->floor : std::nullopt;
   attempt->sent = timers_.Now();
   attempt->pool->RunStatement(
@@ -124,6 +152,11 @@
                                                          : RetryReason::kBusy);
     return;
   }
+  if (attempt->state.outcome != SessionStateOutcome::kApplied) {
+    RollBackAndRelease(attempt->pool, attempt->link, "");
+    EndWithoutEffect(attempt, RetryReason::kStateRefused);
+    return;
+  }
   attempt->transaction_open = true;
   if (attempt->task->access != StatementAccess::kReplicaRead && answer->place) {
     callbacks_.primary_proved(attempt->member(), attempt->sent, *answer->place);
@@ -140,7 +173,7 @@
   auto& task = *attempt->task;
   auto statement = task.statement;
   if (statement.kind == StatementKind::kExecute) {
-    statement.name = attempt->prepared_name;
+    statement.name = attempt->state.prepared_name;
   }
   if (!attempt->transaction_open &&
       task.access == StatementAccess::kReplicaRead) {
@@ -257,7 +290,13 @@
 
 auto StatementTaskRunner::EndWithoutEffect(const AttemptPtr& attempt,
                                            RetryReason retry_reason) -> void {
-  --attempt->task->running_attempts;
+  auto& task = *attempt->task;
+  --task.running_attempts;
+  const auto may_have_run = retry_reason == RetryReason::kFailed ||
+                            retry_reason == RetryReason::kLinkLost;
+  if (!may_have_run && task.running_attempts == 0) {
+    task.statement_sent = false;
+  }
   // Copied, since the attempt may be the last owner of the pool and may be
   // destroyed by the callback.
   const auto member = attempt->member();
--- a/kingcuplock/gateway/statement_task_runner.h
+++ b/kingcuplock/gateway/statement_task_runner.h
@@ -1,9 +1,11 @@
 #pragma once
 
-/// Runs a task on a lent connection: sends the session set-up, a BEGIN if one
-/// is needed, and the statement itself. A read at the primary is sent only
-/// after the member has accepted a read-write BEGIN, which a member that is no
-/// longer the primary refuses. A grant makes this BEGIN unnecessary.
+/// Runs a task on a lent connection: gives it the session's state, sends a
+/// BEGIN if one is needed, and the statement itself. The statement is sent only
+/// after the member has confirmed what it depends on; the BEGIN goes out behind
+/// the state, since the statement waits for its answer anyway. A read at the
+/// primary needs a read-write BEGIN, which a member that is no longer the
+/// primary refuses. A grant makes this BEGIN unnecessary.
 ///
 /// Example:
 ///   StatementTaskRunner runner(timers, std::move(callbacks));
@@ -22,6 +24,8 @@
 enum class RetryReason {
   /// The member is overloaded.
   kBusy,
+  /// The member refused the session's state, so the statement was not sent.
+  kStateRefused,
   /// The member is not the primary.
   kReadOnly,
   /// The member's log has not reached the floor.
@@ -70,7 +74,8 @@
   struct Attempt;
   using AttemptPtr = std::shared_ptr<Attempt>;
 
-  auto SendBegin(const AttemptPtr& attempt) -> void;
+  auto OnStateApplied(const AttemptPtr& attempt) -> void;
+  auto SendBegin(const AttemptPtr& attempt, bool state_confirmed) -> void;
   auto OnBeginAnswer(const AttemptPtr& attempt, const StatementAnswer* answer)
       -> void;
   auto SendTaskStatement(const AttemptPtr& attempt) -> void;
--- a/kingcuplock/statement/session_state.cc
+++ b/kingcuplock/statement/session_state.cc
@@ -35,31 +35,49 @@
                                        const PreparedStatement* prepared,
                                        std::vector<SessionStatement>& out)
     -> std::string {
-  if (NeedsReset(session, prepared)) {
+  const auto reset = NeedsReset(session, prepared);
+  if (reset) {
     out.push_back({.kind = StatementKind::kReset});
-    values_.clear();
-    prepared_.clear();
   }
   for (const auto& [name, value] : session.values) {
     const auto it = values_.find(name);
-    if (it == values_.end() || it->second != value) {
+    if (reset || it == values_.end() || it->second != value) {
       out.push_back(
           {.kind = StatementKind::kSetValue, .name = name, .arguments = value});
-      values_[name] = value;
     }
   }
   if (prepared == nullptr) {
     return {};
   }
-  auto& name = prepared_[*prepared];
-  if (name.empty()) {
-    name = "p" + std::to_string(++last_prepared_number_);
-    out.push_back({.kind = StatementKind::kPrepare,
-                   .name = name,
-                   .arguments = prepared->definition,
-                   .prepares_write = prepared->writes});
+  const auto known = prepared_.find(*prepared);
+  if (!reset && known != prepared_.end()) {
+    return known->second;
   }
+  auto name = "p" + std::to_string(++last_prepared_number_);
+  out.push_back({.kind = StatementKind::kPrepare,
+                 .name = name,
+                 .arguments = prepared->definition,
+                 .prepares_write = prepared->writes});
   return name;
 }
 
+auto MemberConnectionState::NoteApplied(const SessionStatement& statement)
+    -> void {
+  switch (statement.kind) {
+    case StatementKind::kReset:
+      values_.clear();
+      prepared_.clear();
+      break;
+    case StatementKind::kSetValue:
+      values_[statement.name] = statement.arguments;
+      break;
+    case StatementKind::kPrepare:
+      prepared_[{statement.prepares_write, statement.arguments}] =
+          statement.name;
+      break;
+    default:
+      break;
+  }
+}
+
 }  // namespace kingcuplock
--- a/kingcuplock/statement/session_state.h
+++ b/kingcuplock/statement/session_state.h
@@ -8,6 +8,8 @@
 ///   std::vector<SessionStatement> statements;
 ///   auto name = connection_state.PlanReplay(session, &prepared, statements);
 ///   for (auto& it : statements) { Send(it); }
+///   // With each positive answer:
+///   connection_state.NoteApplied(statement);
 
 #include <cstdint>
 #include <map>
@@ -36,9 +38,9 @@
   std::map<std::string, PreparedStatement> prepared;
 };
 
-/// Session values and prepared statements sent on one connection to a member.
-/// Prepared statements are identified by their content, so that sessions share
-/// them even under different names.
+/// Session values and prepared statements that a member has confirmed on one
+/// connection. Prepared statements are identified by their content, so that
+/// sessions share them even under different names. A name is used only once.
 class MemberConnectionState {
  public:
   /// Limit of prepared statements on one connection; one more causes a reset.
@@ -50,12 +52,15 @@
   auto CountReplayStatements(const SessionState& session,
                              const PreparedStatement* prepared) const -> int;
 
-  /// Appends those statements to `out` and records them as sent. Returns the
-  /// name of `prepared` on this connection, empty for nullptr.
+  /// Appends those statements to `out`. Returns the name that `prepared` has on
+  /// this connection once they are confirmed, empty for nullptr.
   auto PlanReplay(const SessionState& session,
                   const PreparedStatement* prepared,
                   std::vector<SessionStatement>& out) -> std::string;
 
+  /// Records that the member has run a statement from PlanReplay().
+  auto NoteApplied(const SessionStatement& statement) -> void;
+
  private:
   auto NeedsReset(const SessionState& session,
                   const PreparedStatement* prepared) const -> bool;
--- a/kingcuplock/statement/statement.h
+++ b/kingcuplock/statement/statement.h
@@ -88,6 +88,20 @@
   kUnrecognized
 };
 
+/// Returns whether a member that answers with `error` has not run the
+/// statement.
+constexpr auto MeansNotRun(StatementError error) -> bool {
+  switch (error) {
+    case StatementError::kBusy:
+    case StatementError::kUnknownStatement:
+    case StatementError::kLagging:
+    case StatementError::kReadOnly:
+      return true;
+    default:
+      return false;
+  }
+}
+
 /// Returns the name of `error`, for logs.
 auto ToString(StatementError error) -> std::string_view;
 
--- a/soak/platform_standin.py
+++ b/soak/platform_standin.py
@@ -10,6 +10,7 @@
 import urllib.parse
 
 REPLICATION_LAG_S = 0.03  # time until a replica applies a commit, before lag_factor
+RECEIVE_CHECK_INTERVAL_S = 0.001
 # Time for which a replaced primary still serves, because it does not know of its successor yet.
 DEMOTION_DELAY_S = 1.0
 PROMOTION_DELAY_S = 0.5  # from an accepted promotion call to the new primary
@@ -165,6 +166,7 @@
         self.log = []  # (position, time, [statement id of each write])
         self.discarded_commits = []  # entries of the log that a promoted member did not have
         self.executions = []
+        self.synchronous = False  # whether a commit is acknowledged only once a replica has received it
         self.fence_holders = {}  # fencing token: its first holder
         self.highest_fence = 0
         self.violations = []
@@ -182,11 +184,33 @@
         if member.is_stale_primary():
             return min(member.applied_count, len(self.log))
         now = time.monotonic()
-        while (member.applied_count < len(self.log)
+        newest = member.received_count if self.synchronous else len(self.log)
+        while (member.applied_count < newest
                and self.log[member.applied_count][1] + REPLICATION_LAG_S * member.lag_factor < now):
             member.applied_count += 1
         return member.applied_count
 
+    async def replicate(self):
+        """Lets the replicas receive the log, each with its own lag; needed if the group is synchronous."""
+        while True:
+            primary, now = self.members.get(self.primary), time.monotonic()
+            for it in self.members.values():
+                if it is primary:
+                    it.received_count = len(self.log)
+                while (primary and primary.up and it.up and not it.paused and it.received_count < len(self.log)
+                       and self.log[it.received_count][1] + it.receive_lag_s < now):
+                    it.received_count += 1
+            await asyncio.sleep(RECEIVE_CHECK_INTERVAL_S)
+
+    async def await_replica(self, term, count):
+        """Returns whether the first `count` entries of the log, the last of `term`, may be acknowledged."""
+        while self.synchronous and not any(
+                it.received_count >= count for name, it in self.members.items() if name != self.primary):
+            await asyncio.sleep(RECEIVE_CHECK_INTERVAL_S)
+            if self.term != term:
+                return False
+        return self.term == term
+
     def commit(self, member, writes):
         if member.is_stale_primary():
             self.stray_writes += writes
@@ -201,6 +225,8 @@
         if not target.up or name == self.primary:
             return
         kept = len(self.log) if not target.replication_blocked else self.count_applied(target)
+        if self.synchronous:
+            kept = target.received_count
         old_primary = self.members.get(self.primary)
         if not self.fenced and old_primary is not None and old_primary.up:
             old_primary.stale_primary_until = time.monotonic() + DEMOTION_DELAY_S
@@ -213,6 +239,7 @@
         target.stale_primary_until = 0
         for it in self.members.values():
             it.applied_count = min(it.applied_count, kept)
+            it.received_count = min(it.received_count, kept)
             it.paused = 0
 
     async def handle_promotion(self, body, headers):
@@ -255,7 +282,10 @@
         self.replication_blocked = False
         self.lag_factor = 1.0  # multiple of REPLICATION_LAG_S
         self.applied_count = 0
+        self.received_count = 0  # of a synchronous group
+        self.receive_lag_s = 0.002
         self.answers_to_lose = 0
+        self.refused_share = 0.0  # of its statements, of any kind; BUSY means that there was no run
         self.paused = 0
         self.stale_primary_until = 0  # until then it serves as primary though it was replaced
         self.stale_term = self.stale_number = 0
@@ -323,12 +353,16 @@
         while True:
             line = (await reader.readuntil(b"\r\n")).decode()[:-2]
             _, statement, text = line.split(" ", 2)
+            before, term = len(self.group.log), self.group.term
             lines, takes_time = self.run_statement(session, statement, text)
+            after = len(self.group.log)
             if takes_time:
                 await asyncio.sleep(self.service_time_s * random.uniform(0.5, 2))
                 if self.answers_to_lose > 0:
                     self.answers_to_lose -= 1
                     continue
+            if self.group.synchronous and after > before and not await self.group.await_replica(term, after):
+                lines = [f"ERROR UNKNOWN {self.name}"]
             out = "".join(it + "\r\n" for it in lines)
             writer.write((out + f"READY {session.state} {self.position()}\r\n").encode())
             await writer.drain()
@@ -353,6 +387,8 @@
 
     def run_statement(self, session, statement, text):
         """Returns the lines of the answer, and whether it takes service time and may be lost."""
+        if self.refused_share and random.random() < self.refused_share:
+            return self.fail_statement(session, "BUSY")
         words = text.split(" ")
         if words[0] == "AFTER":
             if not self.has_applied(words[1]):
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -132,6 +132,7 @@
         self.store_modes = {}
         self.cloud_mode = "up"
         self.group = Group(SERVICE, ["i-1", "i-2", "i-3"], 4 * options.gateways, not options.unfenced, 1 + seed % 4)
+        self.group.synchronous = options.synchronous
         self.violations = []
         # Statement id: (text, session values, route, send time of the statement or of its BEGIN, session,
         # text of the executed prepared statement or None).
@@ -164,7 +165,7 @@
             lambda r, w: serve_http(self.handle_promotion_request, lambda: self.cloud_mode, r, w), "127.0.0.1", 0)
         self.cloud_port = cloud.sockets[0].getsockname()[1]
         self.publish_config(1)
-        self.tasks = [asyncio.create_task(it) for it in (self.store.expire_leases(), self.store.take_copies(), self.publish_members())]
+        self.tasks = [asyncio.create_task(it) for it in (self.store.expire_leases(), self.store.take_copies(), self.publish_members(), self.group.replicate())]
         self.gateways = [Gateway(n, self, self.options.binary) for n in range(self.options.gateways)]
         await asyncio.gather(*(it.start() for it in self.gateways))
 
@@ -175,7 +176,7 @@
                   for kind in ("primary", "bounded", "own")]
         self.store.put("op/config", json.dumps(
             {"version": version, "routes": routes, "limits": {"transaction_idle_ms": 3000},
-             "services": [{"name": SERVICE, "connection_limit": self.group.connections, "synchronous_replicas": 0}]}))
+             "services": [{"name": SERVICE, "connection_limit": self.group.connections, "synchronous_replicas": int(self.options.synchronous)}]}))
         self.version = version
 
     async def publish_members(self):
@@ -210,6 +211,10 @@
             unplanned += [self.restore_store] * 4
         if self.options.promotion_restarts:
             unplanned += [self.restart_around_promotion] * 6
+        if self.options.synchronous:
+            unplanned += [self.restart_around_promotion] * 4 + [self.change_receive_lags] * 4
+        if self.options.refusals:
+            unplanned += [self.refuse_statements] * 6
         if self.options.malformed_items:
             planned += [self.write_malformed_items] * 2
         running = set()
@@ -242,12 +247,20 @@
     async def crash_member(self):
         """Crashes a member for a while, unless another one is down."""
         member = self.group.members[self.random.choice(list(self.group.members))]
-        if sum(it.up for it in self.group.members.values()) < 3:
+        if sum(it.up for it in self.group.members.values()) < 3 or not self.may_stop(member):
             return
         member.crash()
         await asyncio.sleep(self.random.uniform(0.3, 3))
         member.up = True
 
+    def may_stop(self, member):
+        """Whether a member may be stopped. A restart ends a pause, and the member then acknowledges commits by itself."""
+        return not (self.group.synchronous and member.paused)
+
+    async def change_receive_lags(self):
+        for it in self.group.members.values():
+            it.receive_lag_s = self.random.uniform(0.001, 0.12)
+
     async def restart_around_promotion(self):
         """Crashes the primary; while its promotion is prepared, ordered or late, restarts the holder and members."""
         members = list(self.group.members.values())
@@ -268,7 +281,7 @@
         await asyncio.sleep(self.random.uniform(0, 1.5))
         primary.up = True
         for it in members:
-            if it is not primary and self.random.random() < 0.5:
+            if it is not primary and self.random.random() < 0.5 and self.may_stop(it):
                 it.crash()
                 await asyncio.sleep(self.random.uniform(0.05, 0.5))
                 it.up = True
@@ -343,6 +356,13 @@
     async def lose_member_answers(self):
         self.group.members[self.random.choice(list(self.group.members))].answers_to_lose = self.random.randint(1, 3)
 
+    async def refuse_statements(self):
+        """Lets a member refuse a share of its statements of any kind, as if it were overloaded."""
+        member = self.group.members[self.random.choice([self.group.primary, *self.group.members]) or "i-1"]
+        member.refused_share = self.random.uniform(0.05, 0.5)
+        await asyncio.sleep(self.random.uniform(0.5, 3))
+        member.refused_share = 0.0
+
     async def slow_replication(self):
         member = self.group.members[self.random.choice(list(self.group.members))]
         member.lag_factor = 40.0
@@ -395,6 +415,9 @@
         acknowledged = {it[0] for it in self.acknowledged_writes}
         self.violations += [f"{it} was acknowledged by a primary that had been replaced"
                             for it in self.group.stray_writes if it in acknowledged]
+        if self.group.synchronous:
+            self.violations += [f"{it} was acknowledged, and a promoted member lacked it"
+                                for _, _, writes in self.group.discarded_commits for it in writes if it in acknowledged]
         self.violations += self.group.violations
         return self.violations
 
@@ -644,6 +667,11 @@
                         help="every other client sends one operation after the other, without a pause, on one session")
     parser.add_argument("--unfenced", action="store_true",
                         help="gateways require no fencing tokens; a replaced primary still serves for a second")
+    parser.add_argument("--refusals", action="store_true",
+                        help="members also refuse a share of their statements, of any kind, more often than any other fault")
+    parser.add_argument("--synchronous", action="store_true",
+                        help="members acknowledge a commit once a replica has received it; lags change, and the holder "
+                             "and members restart around promotions; not with --unfenced")
     parser.add_argument("--most-memory-mb", type=int, default=2000)
     parser.add_argument("--most-processes", type=int, default=50)
     parser.add_argument("--base-port", type=int, default=21000)
@@ -652,6 +680,9 @@
     if options.base_port + 2000 > FIRST_EPHEMERAL_PORT:
         print(f"--base-port {options.base_port} must leave 2,000 ports below {FIRST_EPHEMERAL_PORT}", file=sys.stderr)
         return 2
+    if options.synchronous and options.unfenced:
+        print("--synchronous can't be used with --unfenced; leave one of them out", file=sys.stderr)
+        return 2
     if options.gateways > options.most_processes or not os.access(options.binary, os.X_OK):
         print(f"--gateways {options.gateways} is more than --most-processes {options.most_processes}, or --binary "
               f"{options.binary} is not executable; build it first", file=sys.stderr)
--- a/standin/statements/statement_group.cc
+++ b/standin/statements/statement_group.cc
@@ -187,7 +187,13 @@
                             Time now) -> StatementAnswer {
   AdvanceTo(now);
   auto& session = sessions_.at(id);
-  auto answer = Run(session, statement, now);
+  const auto& refuse = members_.at(session.member).refuse;
+  const auto error = refuse ? refuse(statement.kind) : StatementError::kNone;
+  auto answer = MeansNotRun(error) ? MakeError(error, session.state)
+                                   : Run(session, statement, now);
+  if (answer.IsOk() && error != StatementError::kNone) {
+    answer = MakeError(error, session.state);
+  }
   if (!answer.IsOk() && session.state == TransactionState::kOpen) {
     session.state = TransactionState::kFailed;
   }
--- a/standin/statements/statement_group.h
+++ b/standin/statements/statement_group.h
@@ -12,10 +12,12 @@
 ///   auto answer = group.Handle(connected.session, statement, now);
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "kingcuplock/base/timer_service.h"
@@ -130,6 +132,15 @@
   /// Starts a stopped member.
   auto Restart(const std::string& member) -> void;
 
+  /// Lets a member answer statements with the error that `refuse` returns,
+  /// unless that is kNone. Such a statement has run only if the error doesn't
+  /// say otherwise, see MeansNotRun(). Empty for no refusals.
+  auto SetRefusals(const std::string& member,
+                   std::function<StatementError(StatementKind)> refuse)
+      -> void {
+    members_.at(member).refuse = std::move(refuse);
+  }
+
   /// Pauses or resumes replication to a member.
   auto SetReplicationPaused(const std::string& member, bool paused) -> void;
 
@@ -182,6 +193,7 @@
     bool replication_paused = false;
     bool isolated = false;
     std::optional<Duration> receive_lag;
+    std::function<StatementError(StatementKind)> refuse;
     /// When another member was promoted while this one continues as a primary;
     /// nullopt if it hasn't been replaced.
     std::optional<Time> replaced_at;
--- a/testing/gateway_fixture.h
+++ b/testing/gateway_fixture.h
@@ -137,6 +137,11 @@
   /// Loses the next `count` answers of a member to reads, writes, executions
   /// and commits.
   auto LoseAnswers(const std::string& member, int count) -> void;
+  /// Loses the next `count` answers of a member to statements that set a
+  /// connection's values and prepared statements.
+  auto LoseStateAnswers(const std::string& member, int count) -> void {
+    state_answers_to_lose_[member] = count;
+  }
   /// Writes a route table to the store that has the databases' three routes and
   /// `routes` more. `version` must be higher than the last.
   auto ChangeRoutes(std::int64_t version, std::size_t routes) -> void;
@@ -323,6 +328,7 @@
   std::set<std::string> leaving_members_;
   std::set<std::pair<std::size_t, std::string>> member_partitions_;
   std::map<std::string, int> answers_to_lose_;
+  std::map<std::string, int> state_answers_to_lose_;
   bool store_up_ = true;
   std::optional<Duration> lost_order_delay_;
   bool lose_demotions_ = false;
--- a/testing/gateway_fixture_actions.cc
+++ b/testing/gateway_fixture_actions.cc
@@ -280,10 +280,10 @@
     FreezeGateway(node, true);
     timers_.After(resumes_at - timers_.Now(), [this, node, send, late] {
       if (late) {
-        nodes_[node]->deferred.insert(nodes_[node]->deferred.begin(),
-                                      [this, node, link = send.link] {
-                                        DropLink(node, link, Reach::kReached);
-                                      });
+        nodes_[node]->deferred.insert(
+            nodes_[node]->deferred.begin(), [this, node, link = send.link] {
+              nodes_[node]->gateway->OnMemberStatementNotSent(link);
+            });
       }
       FreezeGateway(node, false);
       if (!late) {
@@ -314,8 +314,12 @@
                       send.statement.kind == StatementKind::kExecute ||
                       send.statement.kind == StatementKind::kCommit;
     auto& lost = answers_to_lose_[member];
-    if (slow && lost > 0) {
-      --lost;
+    auto& lost_state = state_answers_to_lose_[member];
+    const auto sets_state = send.statement.kind == StatementKind::kSetValue ||
+                            send.statement.kind == StatementKind::kReset ||
+                            send.statement.kind == StatementKind::kPrepare;
+    if ((slow && lost > 0) || (sets_state && lost_state > 0)) {
+      --(slow ? lost : lost_state);
       return;
     }
     const auto done =
