Pool: a connection whose state is unclear is closed before it can be lent again

After a SET that failed with a code that doesn't exclude a run, the callback came first and gave the connection back; a waiting write took it, and was answered UNKNOWN when the connection was closed right after.

--- a/kingcuplock/gateway/member_connection_pool.cc
+++ b/kingcuplock/gateway/member_connection_pool.cc
@@ -309,10 +309,11 @@
   if (--replay->missing > 0) {
     return;
   }
-  replay->callback(replay->result);
   if (answer != nullptr && replay->unclear) {
+    // Before the callback, which may lend the connection again.
     Discard(id);
   }
+  replay->callback(replay->result);
 }
 
 auto MemberConnectionPool::RunStatement(ConnectionId id,
