--- a/kingcuplock/failover/open_orders.h
+++ b/kingcuplock/failover/open_orders.h
@@ -100,11 +100,12 @@
     std::erase_if(orders_, [now](const auto& it) { return it.until <= now; });
   }
 
-  /// Returns whether an open order may replace `primary` by another member.
+  /// Returns whether an open order may replace `primary`, which leads now, by
+  /// another member. `primary` is empty if it is not known.
   auto MayReplace(std::string_view primary) const -> bool {
     return std::any_of(
         orders_.begin(), orders_.end(),
-        [primary](const auto& it) { return it.member != primary; });
+        [primary](const auto& it) { return it.Replaces(primary); });
   }
 
   /// Returns whether an order that may replace `primary` could be carried out
@@ -112,7 +113,7 @@
   auto NeedsSuperseding(std::string_view primary) const -> bool {
     return std::any_of(orders_.begin(), orders_.end(),
                        [primary](const auto& it) {
-                         return it.member != primary && !it.superseded;
+                         return it.Replaces(primary) && !it.superseded;
                        });
   }
 
@@ -122,7 +123,7 @@
       -> std::optional<std::string> {
     std::set<std::string_view> members;
     for (const auto& it : orders_) {
-      if (it.member != primary) {
+      if (it.Replaces(primary)) {
         members.insert(it.member);
       }
     }
@@ -141,6 +142,10 @@
     Time until{};
     /// Whether the platform refuses it from now on.
     bool superseded = false;
+
+    auto Replaces(std::string_view primary) const -> bool {
+      return member == kUnknownMember || member != primary;
+    }
   };
 
   std::vector<Order> orders_;
--- a/kingcuplock/failover/open_orders_test.cc
+++ b/kingcuplock/failover/open_orders_test.cc
@@ -74,6 +74,16 @@
   CHECK_FALSE(orders.NeedsSuperseding("m2"));
 }
 
+// Guards against orders that are overlooked while it is not known who leads.
+TEST_CASE("Any open order may replace a primary that is not known") {
+  OpenOrders orders;
+  orders.NoteSent("m2", 1, kNow);
+  CHECK(orders.MayReplace(""));
+  orders.NoteNotDone(1);
+  orders.NoteInherited(OpenOrders::kUnknownMember, kNow);
+  CHECK(orders.MayReplace(""));
+}
+
 // Guards against a candidate other than the member of an open order, or with
 // fewer entries than another.
 TEST_CASE("Only the member of an open order is chosen") {
--- a/kingcuplock/gateway/promotion_duty.cc
+++ b/kingcuplock/gateway/promotion_duty.cc
@@ -342,8 +342,7 @@
   criteria.new_term =
       std::max(group_.primary().term(), highest_reported_term_) + 1;
   criteria.loss_allowed = !HasSynchronousReplicas();
-  const auto open =
-      open_orders_.OnlySuccessor(group_.primary().member()).value_or("");
+  const auto open = open_orders_.OnlySuccessor(Leader()).value_or("");
   if (HasSynchronousReplicas()) {
     // Its log has all that was acknowledged since it was ordered.
     criteria.only = open;
--- a/kingcuplock/gateway/promotion_duty.h
+++ b/kingcuplock/gateway/promotion_duty.h
@@ -128,7 +128,7 @@
   /// Returns whether an order may still be carried out, so that the record of
   /// it must outlast the duty. Only for platforms that check fencing tokens.
   auto HasOpenOrder() const -> bool {
-    return open_orders_.MayReplace(group_.primary().member());
+    return open_orders_.MayReplace(Leader());
   }
 
   /// Returns whether no action of this duty or the former holder can take
@@ -202,6 +202,11 @@
   // out.
   auto SettleOpenOrders() -> void;
   auto NoteNewLeader() -> void;
+  // Returns the member that led last, as far as is known; empty for none. A
+  // member that was ordered to lead doesn't count before it has taken over.
+  auto Leader() const -> const std::string& {
+    return group_.primary().IsPending() ? leader_ : group_.primary().member();
+  }
   auto MayStillLead(const std::string& member) const -> bool;
   auto SupersedeOrders() -> void;
   auto SendSupersedingOrder(const std::string& primary) -> void;
@@ -322,7 +327,7 @@
   OpenOrders open_orders_;
   /// Whether an open order could replace the primary at the last check.
   bool replacement_open_ = false;
-  /// Last primary that was known to lead, and its term.
+  /// Last primary that was not pending, and its term.
   std::string leader_;
   std::int64_t leader_term_ = 0;
   /// Whether a superseding order is being prepared or waits for its answer, and
--- a/kingcuplock/gateway/promotion_open_orders.cc
+++ b/kingcuplock/gateway/promotion_open_orders.cc
@@ -36,7 +36,7 @@
     return;
   }
   const auto& primary = group_.primary();
-  const auto open = open_orders_.MayReplace(primary.member());
+  const auto open = open_orders_.MayReplace(Leader());
   if (std::exchange(replacement_open_, open) && !open &&
       (HasSynchronousReplicas() || paused_)) {
     ResumeMembers();
@@ -72,7 +72,7 @@
 auto PromotionDuty::NoteNewLeader() -> void {
   const auto& primary = group_.primary();
   const auto leads = primary.IsUsable() && !primary.IsPending();
-  if (!leads || primary.term() <= leader_term_) {
+  if (!leads || (!leader_.empty() && primary.term() <= leader_term_)) {
     return;
   }
   if (!leader_.empty() && leader_ != primary.member()) {
@@ -144,10 +144,9 @@
 // Resumes the members after an attempt. While an order is open, only its member
 // may receive.
 auto PromotionDuty::ReleasePauses() -> void {
-  const auto& primary = group_.primary().member();
-  if (!open_orders_.MayReplace(primary)) {
+  if (!open_orders_.MayReplace(Leader())) {
     ResumeMembers();
-  } else if (const auto successor = open_orders_.OnlySuccessor(primary)) {
+  } else if (const auto successor = open_orders_.OnlySuccessor(Leader())) {
     ResumeMember(*successor, ActionValidUntil());
   }
 }
@@ -191,16 +190,15 @@
     if (report.is_primary) {
       group_.NoteMemberReport(member, report);
     }
-    if (report.is_primary || member == group_.primary().member()) {
+    if (report.is_primary || member == Leader()) {
       replicas.erase(member);
     }
   }
-  const auto& primary = group_.primary();
-  if (!open_orders_.MayReplace(primary.member())) {
+  if (!open_orders_.MayReplace(Leader())) {
     NotePausesOfOthers(replicas);
     return;
   }
-  const auto successor = open_orders_.OnlySuccessor(primary.member());
+  const auto successor = open_orders_.OnlySuccessor(Leader());
   if (!successor) {
     return;
   }
@@ -208,7 +206,7 @@
     if (member == *successor && report.IsPaused()) {
       ResumeMember(member, ActionValidUntil());
     } else if (member != *successor && !report.IsPaused()) {
-      const auto term = std::max(report.term, primary.term()) + 1;
+      const auto term = std::max(report.term, leader_term_) + 1;
       group_.RequestMemberStatus(member, term,
                                  guard_.Bind([this, member = member, term](
                                                  const MemberReport* answer) {
@@ -246,10 +244,9 @@
 // Keeps the record of the open order up to date, for a later holder. The order
 // doesn't wait for it: without fencing tokens it would have to.
 auto PromotionDuty::RecordOpenOrder() -> void {
-  const auto& primary = group_.primary().member();
-  const auto open = open_orders_.MayReplace(primary);
+  const auto open = open_orders_.MayReplace(Leader());
   const auto member =
-      open ? open_orders_.OnlySuccessor(primary).value_or("") : "";
+      open ? open_orders_.OnlySuccessor(Leader()).value_or("") : "";
   const auto unchanged =
       member == permit_.recorded_member() && (!options_.orders_unknown || open);
   if (unanswered_records_ > 0 || unchanged || (open && member.empty())) {
