Promotion duty: a lost order is completed where tokens aren't checked, too

Why it works: the holder orders the same member once more as soon as the answer is lost, with new pauses, whether the primary is back or not. That member leads 1 s later, and the late order changes nothing. Longer waits were ruled out, as every write waits with them.

Before: 'A lost order is completed although the primary is back' fails.

--- a/kingcuplock/gateway/gateway_open_order_test.cc
+++ b/kingcuplock/gateway/gateway_open_order_test.cc
@@ -18,6 +18,10 @@
 /// Term of the first primary: above the terms that a holder without any
 /// knowledge begins with.
 constexpr std::int64_t kFirstTerm = 3;
+/// Time in ms after which an order without an answer is given up.
+constexpr Milliseconds kOrderTimeout{600};
+/// Target in ms for the time without writes around a promotion that takes 1 s.
+constexpr Milliseconds kGapTarget{1800};
 
 auto UnfencedOptions() -> GatewayFixtureOptions {
   return {.gateways = 3, .group = {.first_term = kFirstTerm, .fenced = false}};
@@ -115,6 +119,34 @@
   }
 }
 
+// Guards against an order that gets no answer and is carried out when it counts
+// as void: the primary, which is back, is granted again and goes on serving
+// after its replacement. Also guards against writes that wait until then.
+TEST_CASE("A lost order is completed although the primary is back") {
+  for (const auto back_after_ms : {0, 200, 700}) {
+    CAPTURE(back_after_ms);
+    GatewayFixture world(UnfencedOptions());
+    world.RunFor(kStart);
+    Writers writers(world);
+    writers.Run(Milliseconds(300));
+    world.LosePromotionAnswers(Milliseconds(9000));
+    world.CrashMember("m1");
+    REQUIRE(writers.Run(Milliseconds(3000),
+                        [&] { return !world.OrderFencingTokens().empty(); }));
+    world.LosePromotionAnswers(std::nullopt);
+    writers.Run(Milliseconds(back_after_ms));
+    world.RestartMember("m1");
+    // The time of an order without an answer, and that of a promotion.
+    writers.Run(kOrderTimeout + kGapTarget);
+    const auto before = world.CountSuccessfulStatements();
+    writers.Run(Milliseconds(200));
+    CHECK(world.CountSuccessfulStatements() > before);
+    writers.Run(Milliseconds(11'000));
+    CHECK(world.group().CountPromotions() == 1);
+    CHECK(world.FindViolations().empty());
+  }
+}
+
 // Guards against a holder that takes over without knowing of an open order: the
 // former holder was killed, and its next run confirms that it acts no more.
 TEST_CASE("A restarted holder's open order is known to its successor") {
--- a/kingcuplock/gateway/promotion_duty.cc
+++ b/kingcuplock/gateway/promotion_duty.cc
@@ -107,6 +107,7 @@
     CheckPendingPrimary();
     DemoteReplacedPrimaries();
     ResumeAfterUnresolvedOrders();
+    CompleteUnresolvedOrder();
     ClearRecordedOrder();
   }
   if (stopped_ || phase_ != Phase::kMonitoring || timers_.Now() < not_before_) {
@@ -207,7 +208,7 @@
       group_.primary().IsUsable() && member == group_.primary().member();
   // While an order may still be carried out, no other member is ordered to
   // become primary.
-  if (!options_.checks_fencing_tokens &&
+  if (!options_.checks_fencing_tokens && !HasSynchronousReplicas() &&
       !permit_.HasNoOtherUnresolvedOrder(member, timers_.Now())) {
     return false;
   }
@@ -342,7 +343,10 @@
   criteria.new_term =
       std::max(group_.primary().term(), highest_reported_term_) + 1;
   criteria.loss_allowed = !HasSynchronousReplicas();
-  const auto open = open_orders_.OnlySuccessor(Leader()).value_or("");
+  const auto open = (options_.checks_fencing_tokens
+                         ? open_orders_.OnlySuccessor(Leader())
+                         : permit_.OnlyUnresolvedMember(timers_.Now()))
+                        .value_or("");
   if (HasSynchronousReplicas()) {
     // Its log has all that was acknowledged since it was ordered.
     criteria.only = open;
--- a/kingcuplock/gateway/promotion_duty.h
+++ b/kingcuplock/gateway/promotion_duty.h
@@ -232,6 +232,7 @@
   auto CheckPendingPrimary() -> void;
   auto DemoteReplacedPrimaries() -> void;
   auto ResumeAfterUnresolvedOrders() -> void;
+  auto CompleteUnresolvedOrder() -> void;
   auto ClearRecordedOrder() -> void;
   auto HandOverTo(const std::string& member) -> void;
   auto RetryHandOver(const std::string& member, std::int64_t reported_term)
--- a/kingcuplock/gateway/promotion_grants.cc
+++ b/kingcuplock/gateway/promotion_grants.cc
@@ -29,6 +29,8 @@
 /// Time in ms that a leaving primary's successor has to catch up: several times
 /// the lag of a replica.
 constexpr Milliseconds kCatchUpLimit{400};
+/// Pause in ms between attempts to complete an unresolved order.
+constexpr Milliseconds kCompletionPause{250};
 /// Pause in ms between checks of whether the successor has caught up.
 constexpr Milliseconds kCatchUpCheckPause{10};
 
@@ -226,6 +228,23 @@
   }
 }
 
+// Orders the member of an unresolved order once more, although the primary may
+// be back. Nothing is granted before that order is carried out or can't be any
+// more, and no token keeps the platform from carrying it out later.
+auto PromotionDuty::CompleteUnresolvedOrder() -> void {
+  const auto now = timers_.Now();
+  const auto member = permit_.OnlyUnresolvedMember(now);
+  const auto& primary = group_.primary();
+  if (phase_ != Phase::kMonitoring || now < not_before_ ||
+      now < next_settlement_ || !member || *member == primary.member() ||
+      !primary.IsUsable() || primary.IsPending() || !MayStillLead(*member) ||
+      ReasonToPromote()) {
+    return;
+  }
+  next_settlement_ = now + kCompletionPause;
+  CollectReports(kOpenOrderReason);
+}
+
 // Records that no order is open, once that is certain.
 auto PromotionDuty::ClearRecordedOrder() -> void {
   if (unanswered_records_ > 0 || phase_ != Phase::kMonitoring ||
--- a/kingcuplock/grants/promotion_permit.h
+++ b/kingcuplock/grants/promotion_permit.h
@@ -17,6 +17,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "kingcuplock/base/timer_service.h"
@@ -158,6 +159,22 @@
                        });
   }
 
+  /// Returns the member of the only unresolved orders that may still be carried
+  /// out; nullopt if there is none or more than one, or if it is not known.
+  auto OnlyUnresolvedMember(Time now) const -> std::optional<std::string> {
+    std::optional<std::string> out;
+    for (const auto& [member, until] : unresolved_until_) {
+      if (until <= now) {
+        continue;
+      }
+      if (out || member.empty()) {
+        return std::nullopt;
+      }
+      out = member;
+    }
+    return out;
+  }
+
   /// Removes the unresolved orders that can no longer be carried out; returns
   /// whether there was one.
   auto ForgetExpiredOrders(Time now) -> bool {
