--- a/kingcuplock/gateway/promotion_duty.cc
+++ b/kingcuplock/gateway/promotion_duty.cc
@@ -235,6 +235,7 @@
   const auto leaving = reason == "leaving";
   paused_ =
       HasSynchronousReplicas() || (!options_.checks_fencing_tokens && !leaving);
+  pauses_left_ = pauses_left_ || paused_;
   pause_term_ = paused_ ? group_.primary().term() + 1 : 0;
   last_resort_ = false;
   asked_members_ = FindCandidates();
@@ -503,6 +504,7 @@
 
 auto PromotionDuty::ResumeMembers() -> void {
   paused_ = false;
+  pauses_left_ = false;
   permit_.NoteMembersResumed();
   for (const auto& it : group_.MemberNames()) {
     ResumeMember(it, callbacks_.lease_valid_until());
--- a/kingcuplock/gateway/promotion_duty.h
+++ b/kingcuplock/gateway/promotion_duty.h
@@ -326,6 +326,9 @@
   /// Members for which an order was rejected, and until when they are skipped.
   std::map<std::string, Time> skipped_members_;
   OpenOrders open_orders_;
+  /// Whether members may be paused that are to be resumed once no order is
+  /// open.
+  bool pauses_left_ = false;
   /// Whether an open order could replace the primary at the last check.
   bool replacement_open_ = false;
   /// Last primary that was not pending, and its term.
--- a/kingcuplock/gateway/promotion_open_orders.cc
+++ b/kingcuplock/gateway/promotion_open_orders.cc
@@ -25,9 +25,10 @@
 
 }  // namespace
 
-// Ends the time in which an open order may replace the primary. It is completed
-// if acknowledged commits may be missing everywhere but at its member, and
-// superseded otherwise.
+// Settles an open order while the primary leads on. With synchronous replicas
+// it is completed if its member can still lead: orders for two members could
+// both be carried out, and no log would have what was acknowledged in between.
+// Otherwise it is superseded.
 auto PromotionDuty::SettleOpenOrders() -> void {
   const auto now = timers_.Now();
   open_orders_.ForgetExpired(now);
@@ -37,21 +38,17 @@
   }
   const auto& primary = group_.primary();
   const auto open = open_orders_.MayReplace(Leader());
-  if (std::exchange(replacement_open_, open) && !open &&
-      (HasSynchronousReplicas() || paused_)) {
+  if (std::exchange(replacement_open_, open) && !open && pauses_left_) {
     ResumeMembers();
   }
   MonitorPauses();
   RecordOpenOrder();
   const auto leads =
       primary.IsUsable() && !primary.IsPending() && primary.successor().empty();
-  if (!leads || now < not_before_ || superseding_ ||
+  if (!leads || now < not_before_ || now < next_settlement_ || superseding_ ||
       !open_orders_.NeedsSuperseding(primary.member()) || ReasonToPromote()) {
     return;
   }
-  if (now < next_settlement_) {
-    return;
-  }
   next_settlement_ = now + kSettlementPause;
   const auto successor = open_orders_.OnlySuccessor(primary.member());
   if (HasSynchronousReplicas() && successor && MayStillLead(*successor)) {
@@ -155,7 +152,7 @@
 // a resume may get lost, and a pause of a former holder may arrive late.
 auto PromotionDuty::MonitorPauses() -> void {
   const auto now = timers_.Now();
-  if (now < next_pause_check_ || (!HasSynchronousReplicas() && !paused_)) {
+  if (now < next_pause_check_ || (!HasSynchronousReplicas() && !pauses_left_)) {
     return;
   }
   next_pause_check_ = now + (replacement_open_ ? kOpenOrderPauseCheckInterval
@@ -234,6 +231,7 @@
     }
   }
   if (paused_by_others) {
+    pauses_left_ = true;
     open_orders_.NoteInherited(receiving.size() == 1
                                    ? receiving.front()
                                    : std::string(OpenOrders::kUnknownMember),
