--- a/kingcuplock/gateway/gateway_schedules_test.cc
+++ b/kingcuplock/gateway/gateway_schedules_test.cc
@@ -369,6 +369,10 @@
   RunSchedules(true, ExtraFaults::kSynchronousReplica);
 }
 
+TEST_CASE("Guarantees hold without fencing with a synchronous replica") {
+  RunSchedules(false, ExtraFaults::kSynchronousReplica);
+}
+
 TEST_SUITE_END();
 
 TEST_SUITE_BEGIN("refusals");
--- a/kingcuplock/gateway/gateway_synchronous_test.cc
+++ b/kingcuplock/gateway/gateway_synchronous_test.cc
@@ -251,5 +251,18 @@
   CHECK(group.world().FindViolations().empty());
 }
 
+// Guards against a successor that doesn't know of the order where commits
+// aren't acknowledged by replicas: no member is paused that would tell it.
+TEST_CASE("A successor outdates the order of a holder that was killed") {
+  SynchronousGroup group(0);
+  group.LeaveOrderOpen(Milliseconds(6000));
+  group.KillHolder();
+  group.Write(Milliseconds(200));
+  group.RestartKilled();
+  CHECK(group.Write(Milliseconds(9000)) < kTakeoverTarget);
+  CHECK(group.world().group().CountPromotions() == 0);
+  CHECK(group.world().FindViolations().empty());
+}
+
 }  // namespace
 }  // namespace kingcuplock
