Promotion duty: members are asked for pauses again where tokens aren't checked, too

A pause of a former holder that arrived after its successor had asked the members left a replica without new entries for good. They are asked every 3 s now, and resumed unless an order is recorded. 'A pause that comes late ends' fails before and passes after.

--- a/kingcuplock/gateway/gateway_open_order_test.cc
+++ b/kingcuplock/gateway/gateway_open_order_test.cc
@@ -119,6 +119,26 @@
   }
 }
 
+// Guards against a replica that stays paused for good: a former holder's pause
+// came after its successor had asked the members.
+TEST_CASE("A pause that comes late ends") {
+  GatewayFixture world(UnfencedOptions());
+  world.RunFor(kStart);
+  Writers writers(world);
+  writers.Run(Milliseconds(3000));
+  const auto session =
+      world.group().Connect("m2", "g0", "m2", world.Now()).session;
+  world.group().Handle(session,
+                       {.kind = StatementKind::kPause,
+                        .arguments = std::to_string(kFirstTerm + 1)},
+                       world.Now());
+  world.group().Close(session);
+  REQUIRE(world.group().PausedTerm("m2") > 0);
+  writers.Run(Milliseconds(4000));
+  CHECK(world.group().PausedTerm("m2") == 0);
+  CHECK(world.FindViolations().empty());
+}
+
 // Guards against an order that gets no answer and is carried out when it counts
 // as void: the primary, which is back, is granted again and goes on serving
 // after its replacement. Also guards against writes that wait until then.
--- a/kingcuplock/gateway/promotion_duty.h
+++ b/kingcuplock/gateway/promotion_duty.h
@@ -276,6 +276,7 @@
   int unanswered_records_ = 0;
   Time next_step_down_{};
   Time next_status_request_{};
+  Time next_report_renewal_{};
   Time next_demotion_{};
   /// Replaced primaries that may not know it, with the term of their successor.
   std::map<std::string, std::int64_t> replaced_primaries_;
--- a/kingcuplock/gateway/promotion_grants.cc
+++ b/kingcuplock/gateway/promotion_grants.cc
@@ -18,6 +18,9 @@
 constexpr Milliseconds kPeerHeardValidity{2 * PromotionDuty::kPeerHeardLimit};
 /// Pause in ms between status requests to the members after a change of holder.
 constexpr Milliseconds kStatusRequestPause{100};
+/// Interval in ms at which the members are asked anew, as a pause of a former
+/// holder may arrive late and leave one without new entries.
+constexpr Milliseconds kReportRenewalInterval{3000};
 /// Time in ms after which a member that does not answer is considered a replica
 /// if its entry says so. Members register a change of role at once.
 constexpr Milliseconds kEntryTrustDelay{2000};
@@ -123,6 +126,10 @@
     return;
   }
   next_status_request_ = now + kStatusRequestPause;
+  if (now >= next_report_renewal_) {
+    next_report_renewal_ = now + kReportRenewalInterval;
+    reported_members_.clear();
+  }
   for (const auto& it : group_.MemberNames()) {
     const auto* entry = group_.FindEntry(it);
     if (now - members_asked_since_ >= kEntryTrustDelay && !entry->leads) {
@@ -148,9 +155,10 @@
         NoteNewTerm(member, *report);
         const auto left_paused =
             report->IsPaused() && phase_ == Phase::kMonitoring;
+        const auto may_be_ordered = !permit_.recorded_member().empty();
         if (left_paused && permit_.HasUnresolvedOrder(timers_.Now())) {
           paused_ = true;
-        } else if (left_paused) {
+        } else if (left_paused && !may_be_ordered) {
           ResumeMember(member, callbacks_.lease_valid_until());
         }
       }));
