Reads: a lagging answer counts against a position only if the member led when asked

What callers saw: a session did not see its own acknowledged write for a while after a promotion (rule STALE, own).

Why it works: the position is dropped only after an attempt that was sent when the member was known to lead. Before: 'A lagging answer from before a promotion discards no position' fails for both seeds. After: it passes.

--- a/kingcuplock/gateway/gateway_schedules_test.cc
+++ b/kingcuplock/gateway/gateway_schedules_test.cc
@@ -369,6 +369,17 @@
   RunSchedules(true, ExtraFaults::kSynchronousReplica);
 }
 
+// Guards against a session's write that is forgotten although no promotion cut
+// it off: a replica answers that it lacks the write, and leads by the time at
+// which the answer arrives.
+TEST_CASE("A lagging answer from before a promotion discards no position") {
+  for (const auto seed : {2352U, 2871U}) {
+    CAPTURE(seed);
+    Schedule schedule(seed, true, ExtraFaults::kSynchronousReplica);
+    CHECK(schedule.Run().empty());
+  }
+}
+
 TEST_CASE("Guarantees hold without fencing with a synchronous replica") {
   RunSchedules(false, ExtraFaults::kSynchronousReplica);
 }
--- a/kingcuplock/gateway/group.h
+++ b/kingcuplock/gateway/group.h
@@ -385,6 +385,8 @@
   int pending_attempts_ = 0;
   /// When the newest promotion order became known here.
   Time promotion_ordered_at_{};
+  /// When what is known of the primary last changed.
+  Time primary_changed_at_{};
   /// When the primary was last lost.
   Time primary_lost_at_{};
   /// Moving average of the time from a promotion order until the member is the
--- a/kingcuplock/gateway/group_outcome.cc
+++ b/kingcuplock/gateway/group_outcome.cc
@@ -236,7 +236,10 @@
     DispatchTask(task);
     return;
   }
-  if (task->floor && primary_.WasDiscardedByPromotion(member, *task->floor)) {
+  // A member that leads now may have answered before that.
+  const auto asked_as_primary = task->sent >= primary_changed_at_;
+  if (task->floor && asked_as_primary &&
+      primary_.WasDiscardedByPromotion(member, *task->floor)) {
     if (task->session_position && task->floor == task->session_position) {
       task->position_lost = true;
       task->session_position.reset();
@@ -361,6 +364,7 @@
 
 auto Group::OnPrimaryChanged(std::string_view source) -> void {
   pending_attempts_ = 0;
+  primary_changed_at_ = timers_.Now();
   log_.Log(Event::kPrimaryViewChanged,
            {{"group", config_.name},
             {"primary", primary_.member()},
