--- a/kingcuplock/gateway/promotion_duty.cc
+++ b/kingcuplock/gateway/promotion_duty.cc
@@ -58,9 +58,6 @@
     if (!options_.recorded_order.empty()) {
       open_orders_.NoteInherited(options_.recorded_order, timers_.Now());
     }
-    if (options_.orders_unknown) {
-      open_orders_.NoteInherited(OpenOrders::kUnknownMember, timers_.Now());
-    }
     return;
   }
   const auto may_be_open =
--- a/kingcuplock/gateway/promotion_open_orders.cc
+++ b/kingcuplock/gateway/promotion_open_orders.cc
@@ -245,8 +245,7 @@
   const auto open = open_orders_.MayReplace(Leader());
   const auto member =
       open ? open_orders_.OnlySuccessor(Leader()).value_or("") : "";
-  const auto unchanged =
-      member == permit_.recorded_member() && (!options_.orders_unknown || open);
+  const auto unchanged = member == permit_.recorded_member();
   if (unanswered_records_ > 0 || unchanged || (open && member.empty())) {
     return;
   }
@@ -256,8 +255,6 @@
                             --unanswered_records_;
                             if (recorded) {
                               permit_.NoteOrderRecorded(member, timers_.Now());
-                              options_.orders_unknown =
-                                  options_.orders_unknown && !member.empty();
                             }
                           }));
 }
