--- a/kingcuplock/base/log.cc
+++ b/kingcuplock/base/log.cc
@@ -118,6 +118,7 @@
     {kStoreItemIgnored, kWarning, "store item ignored, not newer"},
     {kOlderRoutesIgnored, kWarning, "route table ignored, not newer"},
     {kMemberResumeAnswered, kInfo, "member answered a resume"},
+    {kWatchUnanswered, kWarning, "watch got no answer, sent again"},
     {kUnknownKeyRefused, kWarning, "client with an unknown key refused"},
     {kSessionKeyRemoved, kInfo, "key of an open session removed"},
     {kQuotaExceeded, kWarning, "tenant is beyond its limit"},
--- a/kingcuplock/base/log.h
+++ b/kingcuplock/base/log.h
@@ -88,6 +88,7 @@
   kStoreItemIgnored = 748,
   kOlderRoutesIgnored = 749,
   kMemberResumeAnswered = 750,
+  kWatchUnanswered = 751,
   kUnknownKeyRefused = 760,
   kSessionKeyRemoved = 761,
   kQuotaExceeded = 762,
